--- /dev/null
+++ b/src/core/json.h
@@ -0,0 +1,51 @@
+// JSON access with checked types. nlohmann json also encodes CBOR for messages between daemons.
+#ifndef CURRANTLUG_CORE_JSON_H
+#define CURRANTLUG_CORE_JSON_H
+
+#include <nlohmann/json.hpp>
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace currantlug {
+
+using Json = nlohmann::json;
+
+/// Parses text; nullopt where it is not JSON. Never throws.
+inline std::optional<Json> parseJson(std::string_view text)
+{
+    Json value = Json::parse(text.begin(), text.end(), nullptr, false);
+    if (value.is_discarded()) {
+        return std::nullopt;
+    }
+    return value;
+}
+
+/// The field's value if the object has it with a type that converts exactly to T, else the fallback.
+template<class T>
+T fieldOr(const Json &object, const char *name, T fallback)
+{
+    if (!object.is_object()) {
+        return fallback;
+    }
+    const auto found = object.find(name);
+    if (found == object.end()) {
+        return fallback;
+    }
+    if constexpr (std::is_same_v<T, bool>) {
+        return found->is_boolean() ? found->get<bool>() : fallback;
+    } else if constexpr (std::is_unsigned_v<T>) {
+        return found->is_number_unsigned() ? found->get<T>() : fallback;
+    } else if constexpr (std::is_integral_v<T>) {
+        return found->is_number_integer() ? found->get<T>() : fallback;
+    } else if constexpr (std::is_floating_point_v<T>) {
+        return found->is_number() ? found->get<T>() : fallback;
+    } else {
+        return found->is_string() ? found->get<std::string>() : fallback;
+    }
+}
+
+} // namespace currantlug
+
+#endif
--- /dev/null
+++ b/tests/core/coretest.cpp
@@ -0,0 +1,67 @@
+// Core building blocks: errors keep their context, ids of removed objects stay invalid, hashes stay stable.
+#include "core/error.h"
+#include "core/hash.h"
+#include "core/json.h"
+#include "core/slotmap.h"
+#include "fakes/fakeobjectstore.h"
+
+#include <catch2/catch.hpp>
+
+using namespace currantlug;
+
+TEST_CASE("an error keeps its step, peer and outcome", "[core]")
+{
+    // Guards against losing "not run" on the way to the caller, who would then not dare to retry.
+    const absl::Status status =
+        makeError(absl::StatusCode::kUnavailable, Step::Connect, "10.0.0.7:80", Outcome::NotRun, "connection refused");
+    const ErrorContext context = errorContext(status);
+    CHECK(context.step == Step::Connect);
+    CHECK(context.peer == "10.0.0.7:80");
+    CHECK(context.outcome == Outcome::NotRun);
+}
+
+TEST_CASE("a status without context never claims that a request did not run", "[core]")
+{
+    CHECK(errorContext(absl::InternalError("x")).outcome == Outcome::MayHaveRun);
+}
+
+TEST_CASE("the id of a removed object does not find its successor", "[core]")
+{
+    SlotMap<std::string> map;
+    const auto first = map.insert("a");
+    REQUIRE(map.erase(first));
+    const auto second = map.insert("b");
+    CHECK(first.index == second.index);
+    CHECK(map.find(first) == nullptr);
+    REQUIRE(map.find(second) != nullptr);
+    CHECK(*map.find(second) == "b");
+    CHECK_FALSE(map.erase(first));
+}
+
+TEST_CASE("hashes agree between daemons", "[core]")
+{
+    // A changed hash would split ownership between daemons of two builds.
+    CHECK(stableHash("step") == stableHash("step"));
+    CHECK(rendezvousWeight("a", "b") != rendezvousWeight("b", "a"));
+    CHECK(sha256Hex("abc") == "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad");
+    CHECK(randomHex(8) != randomHex(8));
+}
+
+TEST_CASE("broken JSON and wrong field types give the fallback, not an exception", "[core]")
+{
+    CHECK_FALSE(parseJson("{\"a\":").has_value());
+    const Json object = *parseJson(R"({"n": -1, "s": 3})");
+    CHECK(fieldOr<std::uint64_t>(object, "n", 7) == 7);
+    CHECK(fieldOr<std::string>(object, "s", "x") == "x");
+}
+
+TEST_CASE("the fake store refuses a write at an old version", "[core]")
+{
+    fakes::FakeObjectStore store;
+    REQUIRE(store.putIf("k", platform::CreateOnly, "1").ok());
+    CHECK(store.putIf("k", platform::CreateOnly, "2").status().code() == absl::StatusCode::kAborted);
+    store.loseNextAnswers(1);
+    const auto lost = store.putIf("k", store.get("k")->version, "3");
+    CHECK(errorContext(lost.status()).outcome == Outcome::MayHaveRun);
+    CHECK(store.get("k")->value == "3");
+}
