--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -36,6 +36,7 @@
 
     int callerPort() const { return callerListener_.port(); }
     int adminPort() const { return adminListener_.port(); }
+    int meshPort() const { return mesh_.port(); }
 
 private:
     enum class DrainPhase {
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -75,7 +75,8 @@
         return FailureExitCode;
     }
     // Scripts that let the system choose the ports read them from here.
-    fmt::print("caller 127.0.0.1:{}\nadmin 127.0.0.1:{}\n", daemon.callerPort(), daemon.adminPort());
+    fmt::print("caller 127.0.0.1:{}\nadmin 127.0.0.1:{}\nmesh 127.0.0.1:{}\n", daemon.callerPort(), daemon.adminPort(),
+               daemon.meshPort());
     std::fflush(stdout);
     const int exitCode = runUntilStopped(daemon);
     daemon.stop();
