--- a/src/routing/admission.h
+++ b/src/routing/admission.h
@@ -17,14 +17,15 @@
     absl::Duration maxRetryAfter = absl::Minutes(2);
 };
 
-/// One per pool: smoothed service rate and the expected wait that follows. Not thread-safe.
+/// One per pool: service rate while work was waiting, and the expected wait that follows. Idle time does not count, as
+/// a quiet pool is not a slow one. Not thread-safe.
 class AdmissionControl
 {
 public:
     explicit AdmissionControl(AdmissionSettings settings = {});
 
-    /// Notes tokens served.
-    void served(double tokens, Instant now);
+    /// Notes tokens served since the last call and whether work is waiting now.
+    void observe(double tokens, bool workWaiting, Instant now);
     /// Expected time until `tokensAhead` are served; zero while no rate is known.
     absl::Duration expectedWait(double tokensAhead, Instant now) const;
     /// nullopt to queue the work, or the time after which the caller should come back.
@@ -32,12 +33,11 @@
                                          Instant now) const;
 
 private:
-    double rate(Instant now) const;
-
     AdmissionSettings settings_;
-    double smoothed_ = 0; ///< Tokens, decaying exponentially with rateWindow.
+    double tokens_ = 0; ///< Tokens served while work waited; decays with rateWindow.
+    double busySeconds_ = 0; ///< Time during which work waited; decays likewise.
+    bool busy_ = false;
     Instant at_;
-    std::optional<Instant> since_; ///< First observation; the rate is corrected for the short history.
 };
 
 } // namespace currantlug::routing
--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -76,6 +76,8 @@
     GivenUp, ///< The work is gone; answer the caller.
 };
 
+/// Deadlines: for work of a step they only order the queue, because a late sample still completes its step. Other work
+/// is refused or expires by its deadline.
 /// One per daemon and not thread-safe: the driver serialises calls.
 /// After each call that can free or add something, and at least every 100 ms, the driver calls next() until it returns
 /// nothing, and takeExpired(). Each assignment ends with exactly one finished(), failed() or cancel() for it; endpoints
--- a/src/routing/endpointchooser.h
+++ b/src/routing/endpointchooser.h
@@ -43,6 +43,7 @@
     bool versionPreference = true;
     bool evictionRisk = true;
     bool reportAgeing = true;
+    bool measuredSpeed = true; ///< Counts load on slow endpoints higher.
     ZoneId ownZone;
     RegionId ownRegion;
     /// Requests that all daemons together keep on one endpoint; 0 is no bound. Further work waits in the fair queue.
@@ -70,10 +71,17 @@
     void setLiveDaemons(std::uint32_t count) { settings_.liveDaemons = count > 0 ? count : 1; }
 
 private:
+    /// What the score compares an endpoint with.
+    struct PoolView
+    {
+        double medianRate = 0;
+        std::uint64_t newestVersion = 0;
+    };
+
     bool hasRoom(EndpointIndex index, const EndpointTable &table, Instant now) const;
-    double load(const EndpointState &endpoint, std::uint32_t others, Instant now) const;
+    double othersLoad(EndpointIndex index, const EndpointTable &table, Instant now) const;
     double score(const WorkItem &item, EndpointIndex index, const EndpointTable &table, const PrefixIndex &prefixes,
-                 Instant now) const;
+                 const PoolView &view, Instant now) const;
 
     ChooserSettings settings_;
     std::uint64_t turn_ = 0;
--- a/src/routing/limits.h
+++ b/src/routing/limits.h
@@ -2,6 +2,7 @@
 #ifndef CURRANTLUG_ROUTING_LIMITS_H
 #define CURRANTLUG_ROUTING_LIMITS_H
 
+#include "core/ids.h"
 #include "core/instant.h"
 
 #include <absl/container/flat_hash_map.h>
@@ -49,7 +50,21 @@
 /// This daemon's part of a site-wide limit. Concurrency shares round up, so that each daemon can serve at least one.
 LimitSettings shareOf(const LimitSettings &siteWide, std::uint32_t liveDaemons);
 
-/// Limits by name ("key:...", "workspace:...", "endpoint:..."). Not thread-safe.
+/// Names under which Limits keeps the limit of an object.
+inline std::string limitName(const KeyId &key)
+{
+    return "key:" + key.str();
+}
+inline std::string limitName(const WorkspaceId &workspace)
+{
+    return "workspace:" + workspace.str();
+}
+inline std::string limitName(const EndpointId &endpoint)
+{
+    return "endpoint:" + endpoint.str();
+}
+
+/// Limits by name (see limitName). Not thread-safe.
 class Limits
 {
 public:
