Add engine, service and load clients with checked labels

Cause: samples need proven weight versions, and callers need whole answers to their own requests or a true outcome. Change: completion streams with id echo, closing event, end marker and label check; a connection pool whose watching thread shuts the socket of a call at its first-progress, idle or total deadline; service and load clients. A failed completion leaves its labelled beginning for resume_text. Surplus bytes that cpp-httplib buffers cannot be seen from outside, so the check for unread bytes covers the socket and the id echo covers the rest. Conclusion: cut, silent, mismatched and refusing endpoints are told apart.

--- a/src/endpoints/connectionpool.h
+++ b/src/endpoints/connectionpool.h
@@ -34,7 +34,7 @@
 /// Deadlines of one call, counted from its start.
 struct CallDeadlines
 {
-    absl::Duration firstByte = absl::Seconds(30); ///< From the start to the first progress of the answer.
+    absl::Duration firstProgress = absl::Seconds(30); ///< From the start to the first progress mark.
     absl::Duration idle = absl::Seconds(10); ///< Between two progress marks after that.
     absl::Duration total = absl::Minutes(10);
 };
@@ -117,12 +117,16 @@
     struct Watched;
     void watch();
 
+    /// Moves the connections of all endpoints that were idle for too long to `old`. Needs the lock.
+    void sweepIdle(Instant now, std::vector<std::unique_ptr<Connection>> &old);
+
     ConnectionPoolSettings settings_;
     mutable std::mutex mutex_;
     std::condition_variable changed_;
     std::map<std::string, std::vector<std::unique_ptr<Connection>>, std::less<>> idle_;
     std::map<std::uint64_t, Watched *> watched_; ///< Running exchanges; each removes itself before it returns.
     std::uint64_t nextWatched_ = 1;
+    Instant lastSweep_ = monotonicNow();
     bool stopping_ = false;
     std::thread watcher_;
 };
--- a/src/endpoints/engineclient.h
+++ b/src/endpoints/engineclient.h
@@ -2,6 +2,7 @@
 #ifndef CURRANTLUG_ENDPOINTS_ENGINECLIENT_H
 #define CURRANTLUG_ENDPOINTS_ENGINECLIENT_H
 
+#include "endpoints/completionstream.h"
 #include "endpoints/connectionpool.h"
 #include "endpoints/segment.h"
 
@@ -25,38 +26,15 @@
     CallDeadlines deadlines;
 };
 
-/// A complete answer: the engine sent its closing event and its end marker.
-struct EngineAnswer
-{
-    std::string text; ///< Resumed text included.
-    std::vector<Segment> segments; ///< Resumed segments included.
-    std::string finishReason;
-    std::uint64_t tokens = 0; ///< Resumed tokens included.
-    absl::Status labels; ///< OK when the labels are complete and consistent; otherwise the answer is no sample.
-};
-
-/// A piece of the stream as it arrives. `text` is valid during the call only.
-struct EngineChunk
-{
-    std::string_view text;
-    std::optional<WeightVersion> weightVersion;
-};
-
-struct EngineClientSettings
-{
-    std::size_t maxEventBytes = 1 << 20;
-    std::size_t maxAnswerBytes = 16 << 20;
-};
-
 /// Thread-safe. Calls block their thread.
 class EngineClient
 {
 public:
     /// Takes a chunk; returns false to stop the call, which then fails with kCancelled.
-    using OnChunk = std::function<bool(const EngineChunk &)>;
+    using OnChunk = CompletionStream::OnChunk;
 
     /// The pool must outlive the client.
-    explicit EngineClient(ConnectionPool &pool, EngineClientSettings settings = {})
+    explicit EngineClient(ConnectionPool &pool, CompletionStreamSettings settings = {})
         : pool_(pool)
         , settings_(settings)
     {
@@ -73,8 +51,11 @@
     absl::Status cancelRequest(std::string_view address, std::string_view requestId);
 
 private:
+    absl::StatusOr<EngineAnswer> stream(const EngineRequest &request, std::string body, CompletionStream &stream,
+                                        CancelFlag *cancel);
+
     ConnectionPool &pool_;
-    EngineClientSettings settings_;
+    CompletionStreamSettings settings_;
 };
 
 } // namespace currantlug::endpoints
--- a/src/endpoints/serviceclient.h
+++ b/src/endpoints/serviceclient.h
@@ -39,11 +39,11 @@
 };
 
 /// The headers of a caller's request that may go to a service: Accept, Accept-Language, Content-Type, Idempotency-Key,
-/// If-Match, If-None-Match.
+/// If-Match. If-None-Match is left out because cpp-httplib 0.11 waits for a body after status 304.
 bool mayForwardHeader(std::string_view name);
 
-/// The headers of an answer that may go back: Content-Type, Content-Language, Cache-Control, ETag, Location,
-/// Retry-After.
+/// The headers of an answer that may go back: Content-Type, Content-Language, Content-Encoding, Cache-Control, ETag,
+/// Location, Retry-After.
 bool mayReturnHeader(std::string_view name);
 
 /// Thread-safe. Calls block their thread.
@@ -58,8 +58,9 @@
     }
 
     /// Sends the request once and reads the whole answer, whatever its HTTP status. An answer that echoes another
-    /// request id is discarded with its connection; after one without an echo the connection is not reused. Errors:
-    /// kInvalidArgument (not sent), kUnavailable, kDeadlineExceeded, kCancelled, kDataLoss, kResourceExhausted.
+    /// request id is discarded with its connection; after one without an echo the connection is not reused. An answer
+    /// with neither Content-Length nor chunks counts as cut, because its end cannot be told from a closed connection.
+    /// Errors: kInvalidArgument (not sent), kUnavailable, kDeadlineExceeded, kCancelled, kDataLoss, kResourceExhausted.
     absl::StatusOr<ServiceAnswer> call(const ServiceRequest &request, CancelFlag *cancel = nullptr);
 
 private:
