--- a/src/core/instant.h
+++ b/src/core/instant.h
@@ -22,14 +22,14 @@
     /// Time since the arbitrary origin of this process's monotonic clock.
     constexpr absl::Duration sinceOrigin() const { return sinceOrigin_; }
 
-    friend constexpr Instant operator+(Instant at, absl::Duration by) { return Instant(at.sinceOrigin_ + by); }
-    friend constexpr Instant operator-(Instant at, absl::Duration by) { return Instant(at.sinceOrigin_ - by); }
-    friend constexpr absl::Duration operator-(Instant a, Instant b) { return a.sinceOrigin_ - b.sinceOrigin_; }
-    friend constexpr bool operator==(Instant a, Instant b) { return a.sinceOrigin_ == b.sinceOrigin_; }
-    friend constexpr bool operator<(Instant a, Instant b) { return a.sinceOrigin_ < b.sinceOrigin_; }
-    friend constexpr bool operator>(Instant a, Instant b) { return b < a; }
-    friend constexpr bool operator<=(Instant a, Instant b) { return !(b < a); }
-    friend constexpr bool operator>=(Instant a, Instant b) { return !(a < b); }
+    friend Instant operator+(Instant at, absl::Duration by) { return Instant(at.sinceOrigin_ + by); }
+    friend Instant operator-(Instant at, absl::Duration by) { return Instant(at.sinceOrigin_ - by); }
+    friend absl::Duration operator-(Instant a, Instant b) { return a.sinceOrigin_ - b.sinceOrigin_; }
+    friend bool operator==(Instant a, Instant b) { return a.sinceOrigin_ == b.sinceOrigin_; }
+    friend bool operator<(Instant a, Instant b) { return a.sinceOrigin_ < b.sinceOrigin_; }
+    friend bool operator>(Instant a, Instant b) { return b < a; }
+    friend bool operator<=(Instant a, Instant b) { return !(b < a); }
+    friend bool operator>=(Instant a, Instant b) { return !(a < b); }
 
 private:
     absl::Duration sinceOrigin_;
