--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -8,6 +8,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace currantlug::daemon {
@@ -89,6 +90,27 @@
     return result;
 }
 
+lease::LeaseSettings leaseSettings(const settings::Tunables &tunables)
+{
+    lease::LeaseSettings result;
+    result.duration = tunables.leaseDuration;
+    result.renewEvery = tunables.leaseDuration / 3;
+    result.margin = tunables.leaseMargin;
+    result.sendBound = tunables.sendBound;
+    return result;
+}
+
+services::UsageServiceSettings usageSettings(const settings::Tunables &tunables)
+{
+    services::UsageServiceSettings result;
+    result.window = tunables.usageWindow;
+    result.grace = tunables.usageGrace;
+    // At least two flushes per window and one within the grace period, so that a window has its figures when frozen.
+    result.flushEvery = std::min(result.flushEvery, std::min(tunables.usageWindow, tunables.usageGrace) / 2);
+    result.lease = leaseSettings(tunables);
+    return result;
+}
+
 server::HttpListenerSettings listenerSettings(const std::string &address, int port)
 {
     server::HttpListenerSettings result;
@@ -123,14 +145,16 @@
           },
           endpointSettings(settings_.tunables))
     , statistics_(metrics_)
-    , completions_(gate_, active_, engines_, [this](const auto &record) { statistics_.record(record); })
+    , usage_(settings_.daemon, incarnation_, store_, clientSettings(settings_.usageAddress),
+             usageSettings(settings_.tunables))
+    , completions_(gate_, active_, engines_, [this](const auto &record) { recordCall(record); })
     , claims_({settings_.daemon, incarnation_}, mesh_, members_, store_, {settings_.tunables.claimBatch})
     , generator_(completions_, [this] { return config_.current(); })
     , requestGate_(config_, members_)
     , callerListener_(listenerSettings(settings_.callerAddress, settings_.callerPort))
     , adminListener_(listenerSettings(settings_.adminAddress, settings_.adminPort))
     , callerApi_({requestGate_, config_, members_, completions_, gate_, active_, claims_, plainServices_,
-                  [this](const auto &record) { statistics_.record(record); }})
+                  [this](const auto &record) { recordCall(record); }})
     , trainerApi_({requestGate_, config_, members_, steps_, mesh_})
     , adminApi_({settings_.adminToken, config_, members_, endpoints_, gate_, metrics_,
                  [this] { return statistics_.workspaces(*config_.current()); },
@@ -196,6 +220,7 @@
     supervisor_.add({"config", always(config_), [this] { config_.stop(); }, nullptr});
     supervisor_.add({"dispatch", always(gate_), [this] { gate_.stop(); }, nullptr});
     supervisor_.add({"endpoints", always(endpoints_), [this] { endpoints_.stop(); }, nullptr});
+    supervisor_.add({"usage", always(usage_), [this] { usage_.stop(); }, nullptr});
     supervisor_.add({"claims", [] { return absl::OkStatus(); }, [this] { claims_.stop(); }, nullptr});
     supervisor_.add({"rollout",
                      [this] {
@@ -211,6 +236,17 @@
                      nullptr});
 }
 
+void Daemon::recordCall(const services::CompletionRecord &record)
+{
+    statistics_.record(record);
+    usage_.count(record.workspace, {1, record.tokens});
+}
+
+Json Daemon::leases() const
+{
+    return {{"leases", {{{"name", "usage"}, {"held_here", usage_.holdsLease()}}}}};
+}
+
 absl::Status Daemon::startMembers()
 {
     const std::string caller = settings_.callerAdvertised.empty()
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -9,6 +9,7 @@
 #include "server/trainerapi.h"
 #include "services/callstatistics.h"
 #include "services/rolloutservice.h"
+#include "services/usageservice.h"
 #include "settings/daemonsettings.h"
 
 #include <memory>
@@ -50,6 +51,8 @@
     void superviseParts();
     absl::Status startMembers();
     void advanceDrain(Instant now);
+    void recordCall(const services::CompletionRecord &record);
+    Json leases() const;
 
     settings::DaemonSettings settings_;
     std::string incarnation_;
@@ -67,6 +70,7 @@
     endpoints::ServiceClient plainServices_;
     services::EndpointService endpoints_;
     services::CallStatistics statistics_;
+    services::UsageService usage_;
     services::CompletionService completions_;
     services::ClaimService claims_;
     services::CompletionSampleGenerator generator_;
--- a/src/services/activecalls.h
+++ b/src/services/activecalls.h
@@ -15,7 +15,8 @@
 namespace currantlug::services {
 
 /// A running call. Its flag ends the call; `ended` says why if it was this registry that set it.
-struct ActiveCall {
+struct ActiveCall
+{
     requests::Authorization authorization;
     RouteId route;
     std::shared_ptr<endpoints::CancelFlag> cancel;
--- a/src/services/completionservice.cpp
+++ b/src/services/completionservice.cpp
@@ -62,9 +62,8 @@
 {
 }
 
-absl::StatusOr<CompletionResult> CompletionService::run(CompletionCall &call,
-                                                        const std::shared_ptr<endpoints::CancelFlag> &cancel,
-                                                        const OnText &onText)
+absl::StatusOr<CompletionResult>
+CompletionService::run(CompletionCall &call, const std::shared_ptr<endpoints::CancelFlag> &cancel, const OnText &onText)
 {
     const Instant startedAt = monotonicNow();
     const std::uint64_t tokensBefore = endpoints::countTokens(call.partial.segments);
@@ -89,8 +88,7 @@
 {
     absl::StatusOr<Attempt> attempt = gate_.submit(makeWorkItem(call), cancel);
     for (int number = 1; attempt.ok(); ++number) {
-        const std::string requestId =
-            number == 1 ? call.requestId : call.requestId + "." + std::to_string(number);
+        const std::string requestId = number == 1 ? call.requestId : call.requestId + "." + std::to_string(number);
         absl::StatusOr<endpoints::EngineAnswer> answer = runAttempt(call, *attempt, requestId, onText);
         if (answer.ok()) {
             gate_.finished(*attempt);
--- a/src/services/configservice.cpp
+++ b/src/services/configservice.cpp
@@ -364,8 +364,8 @@
 {
     const Instant sentAt = monotonicNow();
     std::optional<DaemonId> source;
-    for (const MeshAnswer &answer : callAll(mesh_, members_.others(), "attest", Json::object(),
-                                            settings_.attestTimeout)) {
+    for (const MeshAnswer &answer :
+         callAll(mesh_, members_.others(), "attest", Json::object(), settings_.attestTimeout)) {
         if (!answer.body.ok()) {
             continue;
         }
@@ -516,7 +516,8 @@
         for (const MeshAnswer &answer : callAll(service_.mesh_, missing, "ticket_push", body, round)) {
             const membership::Member *member = members.list.find(answer.from);
             if (answer.body.ok() && fieldOr<std::uint64_t>(*answer.body, "head", 0) >= ticket.number
-                && (member == nullptr || fieldOr<std::string>(*answer.body, "incarnation", "") == member->incarnation)) {
+                && (member == nullptr
+                    || fieldOr<std::string>(*answer.body, "incarnation", "") == member->incarnation)) {
                 holders.insert(answer.from);
             }
         }
--- a/src/services/configservice.h
+++ b/src/services/configservice.h
@@ -19,7 +19,8 @@
 
 namespace currantlug::services {
 
-struct ConfigServiceSettings {
+struct ConfigServiceSettings
+{
     config::FreshnessSettings freshness;
     absl::Duration pullInterval = absl::Seconds(1);
     absl::Duration pullTimeout = absl::Seconds(1);
--- a/src/services/dispatchgate.cpp
+++ b/src/services/dispatchgate.cpp
@@ -27,8 +27,8 @@
     if (admission.reason == routing::RefusalReason::DeadlinePassed) {
         return refusal(absl::StatusCode::kDeadlineExceeded, "the deadline passed before the work was queued");
     }
-    absl::Status status = refusal(absl::StatusCode::kResourceExhausted,
-                                  "refused by admission: " + std::string(nameOf(admission.reason)));
+    absl::Status status =
+        refusal(absl::StatusCode::kResourceExhausted, "refused by admission: " + std::string(nameOf(admission.reason)));
     status.SetPayload(RetryAfterUrl, absl::Cord(std::to_string(absl::ToInt64Milliseconds(admission.retryAfter))));
     return status;
 }
--- a/src/services/dispatchgate.h
+++ b/src/services/dispatchgate.h
@@ -22,7 +22,8 @@
 
 /// One attempt of work on one endpoint. Its flag is set when the attempt has to end: the caller went away, or the work
 /// is to be moved.
-struct Attempt {
+struct Attempt
+{
     routing::WorkId work = 0;
     EndpointId endpoint;
     std::string address;
@@ -31,7 +32,8 @@
 };
 
 /// Where an endpoint is reached.
-struct EndpointAddress {
+struct EndpointAddress
+{
     std::string address;
     std::string model;
 };
@@ -85,7 +87,8 @@
 
 private:
     /// Work known to the gate: waiting for an attempt or running one.
-    struct Work {
+    struct Work
+    {
         std::condition_variable assigned;
         std::shared_ptr<endpoints::CancelFlag> caller;
         std::uint64_t callerHook = 0;
--- a/src/services/endpointservice.cpp
+++ b/src/services/endpointservice.cpp
@@ -169,9 +169,8 @@
         loads_[id] = *report;
         list_.applyLoad({id, "", report->leaving}, monotonicNow());
     }
-    gate_.update([&](routing::Dispatcher &dispatcher, Instant now) {
-        dispatcher.loadReport(id, toRouting(*report), now);
-    });
+    gate_.update(
+        [&](routing::Dispatcher &dispatcher, Instant now) { dispatcher.loadReport(id, toRouting(*report), now); });
 }
 
 void EndpointService::pollVms()
--- a/src/services/endpointservice.h
+++ b/src/services/endpointservice.h
@@ -18,14 +18,16 @@
 
 namespace currantlug::services {
 
-struct EndpointServiceSettings {
+struct EndpointServiceSettings
+{
     absl::Duration pollInterval = absl::Seconds(1); ///< Of load reports and of the VM list.
     absl::Duration pollTimeout = absl::Seconds(1);
     std::size_t pollThreads = 4;
 };
 
 /// One row of the operators' list of endpoints.
-struct EndpointRow {
+struct EndpointRow
+{
     membership::EndpointEntry entry;
     std::optional<endpoints::LoadReport> load;
 };
@@ -37,8 +39,8 @@
     /// Region of an availability zone, empty where unknown.
     using RegionOf = std::function<RegionId(const ZoneId &)>;
 
-    EndpointService(DispatchGate &gate, endpoints::ConnectionPool &pool, platform::VmListClient &vms,
-                    RegionOf regionOf, EndpointServiceSettings settings);
+    EndpointService(DispatchGate &gate, endpoints::ConnectionPool &pool, platform::VmListClient &vms, RegionOf regionOf,
+                    EndpointServiceSettings settings);
     ~EndpointService();
 
     void start();
--- a/src/services/memberservice.cpp
+++ b/src/services/memberservice.cpp
@@ -202,7 +202,8 @@
         }
     }
     for (const mesh::Peer &seed : settings_.seeds) {
-        const bool listed = std::any_of(peers.begin(), peers.end(), [&](const auto &peer) { return peer.id == seed.id; });
+        const bool listed =
+            std::any_of(peers.begin(), peers.end(), [&](const auto &peer) { return peer.id == seed.id; });
         if (!listed && seed.id != self_.id && list_.version() == 0) {
             peers.push_back(seed);
         }
--- a/src/services/memberservice.h
+++ b/src/services/memberservice.h
@@ -20,7 +20,8 @@
 
 namespace currantlug::services {
 
-struct MemberServiceSettings {
+struct MemberServiceSettings
+{
     membership::LivenessSettings liveness;
     membership::AddressSettings addresses;
     absl::Duration pushTimeout = absl::Seconds(2);
@@ -29,7 +30,8 @@
 };
 
 /// The member list in use, and whether its last change is known to be in effect.
-struct MemberSnapshot {
+struct MemberSnapshot
+{
     membership::MemberList list;
     bool confirmed = false;
     membership::Suspects suspects;
--- a/src/services/meshcalls.h
+++ b/src/services/meshcalls.h
@@ -9,7 +9,8 @@
 
 namespace currantlug::services {
 
-struct MeshAnswer {
+struct MeshAnswer
+{
     DaemonId from;
     absl::StatusOr<Json> body;
 };
--- a/src/services/rolloutservice.cpp
+++ b/src/services/rolloutservice.cpp
@@ -46,8 +46,7 @@
 }
 
 absl::StatusOr<rollout::Sample> CompletionSampleGenerator::generate(const rollout::SlotTask &slot,
-                                                                    const std::string &prompt,
-                                                                    std::uint64_t maxTokens,
+                                                                    const std::string &prompt, std::uint64_t maxTokens,
                                                                     rollout::PartialAnswer &partial,
                                                                     endpoints::CancelFlag &cancel)
 {
@@ -81,8 +80,7 @@
         partial = {};
         return result->answer.labels;
     }
-    return rollout::Sample{result->answer.text, result->answer.segments, result->sampleId,
-                           result->answer.finishReason};
+    return rollout::Sample{result->answer.text, result->answer.segments, result->sampleId, result->answer.finishReason};
 }
 
 } // namespace currantlug::services
