Add endpoint orders and weight roll-outs under one lease

Cause: the platform must never take orders from two holders, and totals must stay within the ticket at every moment. One lease for all availability zones, because holders per zone could together pass a pool's maximum. Conclusion: only three candidates poll each lease, so the reads do not grow with the fleet.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -9,6 +9,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace currantlug::daemon {
@@ -100,7 +101,7 @@
     return result;
 }
 
-services::UsageServiceSettings usageSettings(const settings::Tunables &tunables)
+services::UsageServiceSettings usageSettings(const settings::Tunables &tunables, services::MemberService &members)
 {
     services::UsageServiceSettings result;
     result.window = tunables.usageWindow;
@@ -108,6 +109,14 @@
     // At least two flushes per window and one within the grace period, so that a window has its figures when frozen.
     result.flushEvery = std::min(result.flushEvery, std::min(tunables.usageWindow, tunables.usageGrace) / 2);
     result.lease = leaseSettings(tunables);
+    result.candidate = [&members] { return members.isLeaseCandidate("usage"); };
+    return result;
+}
+
+services::FleetServiceSettings fleetSettings(const settings::Tunables &tunables)
+{
+    services::FleetServiceSettings result;
+    result.lease = leaseSettings(tunables);
     return result;
 }
 
@@ -146,8 +155,10 @@
           endpointSettings(settings_.tunables))
     , statistics_(metrics_)
     , usage_(settings_.daemon, incarnation_, store_, clientSettings(settings_.usageAddress),
-             usageSettings(settings_.tunables))
+             usageSettings(settings_.tunables, members_))
     , completions_(gate_, active_, engines_, [this](const auto &record) { recordCall(record); })
+    , fleet_(settings_.daemon, store_, clientSettings(settings_.ordersAddress), fleetInputs(),
+             fleetSettings(settings_.tunables))
     , claims_({settings_.daemon, incarnation_}, mesh_, members_, store_, {settings_.tunables.claimBatch})
     , generator_(completions_, [this] { return config_.current(); })
     , requestGate_(config_, members_)
@@ -220,6 +231,7 @@
     supervisor_.add({"config", always(config_), [this] { config_.stop(); }, nullptr});
     supervisor_.add({"dispatch", always(gate_), [this] { gate_.stop(); }, nullptr});
     supervisor_.add({"endpoints", always(endpoints_), [this] { endpoints_.stop(); }, nullptr});
+    supervisor_.add({"fleet", always(fleet_), [this] { fleet_.stop(); }, nullptr});
     supervisor_.add({"usage", always(usage_), [this] { usage_.stop(); }, nullptr});
     supervisor_.add({"claims", [] { return absl::OkStatus(); }, [this] { claims_.stop(); }, nullptr});
     supervisor_.add({"rollout",
@@ -242,9 +254,57 @@
     usage_.count(record.workspace, {1, record.tokens});
 }
 
-Json Daemon::leases() const
+Json Daemon::leases()
+{
+    Json list = Json::array();
+    const auto add = [&](const char *name, bool heldHere) {
+        Json row{{"name", name}, {"held_here", heldHere}};
+        if (const auto stored = store_.get(lease::leaseKey(name)); stored.ok()) {
+            if (const auto record = lease::parseLeaseRecord(stored->value); record.ok()) {
+                row["holder"] = record->holder.str();
+                row["term"] = record->term;
+            }
+        }
+        list.push_back(std::move(row));
+    };
+    add("orders", fleet_.holdsLease());
+    add("usage", usage_.holdsLease());
+    return {{"leases", std::move(list)}};
+}
+
+services::FleetInputs Daemon::fleetInputs()
 {
-    return {{"leases", {{{"name", "usage"}, {"held_here", usage_.holdsLease()}}}}};
+    services::FleetInputs inputs;
+    inputs.state = [this] { return config_.current(); };
+    inputs.endpoints = [this] { return endpoints_.rows(); };
+    inputs.load = [this](const PoolId &pool) { return poolLoad(pool); };
+    inputs.candidate = [this] { return members_.isLeaseCandidate("orders"); };
+    inputs.zones = [this] {
+        std::set<ZoneId> zones;
+        const services::MemberSnapshot members = members_.snapshot();
+        for (const membership::Member &member : members.list.members()) {
+            zones.insert(member.zone);
+        }
+        return std::vector<ZoneId>(zones.begin(), zones.end());
+    };
+    return inputs;
+}
+
+services::PoolLoad Daemon::poolLoad(const PoolId &pool) const
+{
+    // Load reports show the requests of all daemons; their length is taken from those queued here.
+    constexpr double UsualTokens = 200;
+    services::PoolLoad load;
+    std::uint64_t requests = 0;
+    for (const services::EndpointRow &row : endpoints_.rows()) {
+        if (row.entry.config.pool == pool && row.load) {
+            requests += row.load->running + row.load->waiting;
+        }
+    }
+    gate_.inspect([&](const routing::Dispatcher &dispatcher) {
+        load.outstandingTokens = dispatcher.queuedTokens(pool) + static_cast<double>(requests) * UsualTokens;
+    });
+    return load;
 }
 
 absl::Status Daemon::startMembers()
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -8,6 +8,7 @@
 #include "server/httplistener.h"
 #include "server/trainerapi.h"
 #include "services/callstatistics.h"
+#include "services/fleetservice.h"
 #include "services/rolloutservice.h"
 #include "services/usageservice.h"
 #include "settings/daemonsettings.h"
@@ -52,7 +53,9 @@
     absl::Status startMembers();
     void advanceDrain(Instant now);
     void recordCall(const services::CompletionRecord &record);
-    Json leases() const;
+    Json leases();
+    services::FleetInputs fleetInputs();
+    services::PoolLoad poolLoad(const PoolId &pool) const;
 
     settings::DaemonSettings settings_;
     std::string incarnation_;
@@ -72,6 +75,7 @@
     services::CallStatistics statistics_;
     services::UsageService usage_;
     services::CompletionService completions_;
+    services::FleetService fleet_;
     services::ClaimService claims_;
     services::CompletionSampleGenerator generator_;
     rollout::StepBook steps_;
--- a/src/services/memberservice.cpp
+++ b/src/services/memberservice.cpp
@@ -6,7 +6,7 @@
 #include "telemetry/log.h"
 
 #include <algorithm>
-#include <chrono>
+#include <limits>
 #include <utility>
 
 namespace currantlug::services {
@@ -24,6 +24,9 @@
 // A removal asks a majority first; relays take turns by their rank so that they do not all ask at once.
 constexpr std::size_t RemovingRelays = 2;
 
+// Two can fail together before a lease waits for a change of the member list.
+constexpr std::size_t LeaseCandidates = 3;
+
 } // namespace
 
 MemberService::MemberService(Member self, mesh::Mesh &mesh, platform::HttpObjectStore &store,
@@ -133,10 +136,7 @@
         }
         liveness_.update(monotonicNow());
         dead = liveness_.dead();
-        const auto ranked = membership::rankedServing(list_, liveness_.suspects(), "remove-dead");
-        while (rank < ranked.size() && ranked[rank]->id != self_.id) {
-            ++rank;
-        }
+        rank = rankLocked("remove-dead");
     }
     if (rank >= RemovingRelays) {
         return;
@@ -307,6 +307,22 @@
     return membership::ownerOf(list_, liveness_.suspects(), key);
 }
 
+std::size_t MemberService::rankLocked(std::string_view key) const
+{
+    const auto ranked = membership::rankedServing(list_, liveness_.suspects(), key);
+    std::size_t rank = 0;
+    while (rank < ranked.size() && ranked[rank]->id != self_.id) {
+        ++rank;
+    }
+    return rank == ranked.size() ? std::numeric_limits<std::size_t>::max() : rank;
+}
+
+bool MemberService::isLeaseCandidate(std::string_view lease) const
+{
+    const std::lock_guard lock(mutex_);
+    return rankLocked(lease) < LeaseCandidates;
+}
+
 std::vector<DaemonId> MemberService::pullOrder() const
 {
     const std::lock_guard lock(mutex_);
--- a/src/services/memberservice.h
+++ b/src/services/memberservice.h
@@ -72,6 +72,8 @@
     bool isRelay() const;
     membership::AddressAnswer addresses(std::string_view caller, const ZoneId &zone) const;
     std::optional<DaemonId> ownerOf(std::string_view key) const;
+    /// Whether this daemon is one of the few that compete for a lease: each competitor reads it about once a second.
+    bool isLeaseCandidate(std::string_view lease) const;
     std::vector<DaemonId> pullOrder() const;
     /// All members but this daemon.
     std::vector<DaemonId> others() const;
@@ -102,6 +104,7 @@
     void judgeOthers();
     void takeChange(const absl::StatusOr<membership::MemberChange> &change);
     void updatePeersLocked();
+    std::size_t rankLocked(std::string_view key) const;
     std::string incarnationOf(const DaemonId &id) const;
 
     membership::Member self_;
--- a/src/services/usageservice.cpp
+++ b/src/services/usageservice.cpp
@@ -22,12 +22,12 @@
 
 UsageService::UsageService(DaemonId self, std::string incarnation, platform::HttpObjectStore &store,
                            platform::HttpClientSettings reportClient, UsageServiceSettings settings)
-    : settings_(settings)
+    : settings_(std::move(settings))
     , name_(self.str() + "-" + incarnation)
-    , keeper_(store, "usage", self, settings.lease)
+    , keeper_(store, "usage", self, settings_.lease)
     , ledger_(store)
     , reports_(std::move(reportClient), self.str())
-    , counter_(absl::ToInt64Milliseconds(settings.window))
+    , counter_(absl::ToInt64Milliseconds(settings_.window))
 {
 }
 
@@ -79,7 +79,9 @@
             flushedAt = monotonicNow();
             flush();
         }
-        keeper_.poll().IgnoreError();
+        if (keeper_.holds() || settings_.candidate()) {
+            keeper_.poll().IgnoreError();
+        }
         reportNext();
         lock.lock();
         stopChanged_.wait_for(lock, absl::ToChronoMilliseconds(settings_.tick), [this] { return stopping_; });
--- a/src/services/usageservice.h
+++ b/src/services/usageservice.h
@@ -8,6 +8,7 @@
 #include "usage/usageledger.h"
 
 #include <condition_variable>
+#include <functional>
 #include <mutex>
 #include <thread>
 #include <vector>
@@ -22,6 +23,7 @@
     absl::Duration flushEvery = absl::Seconds(30);
     absl::Duration tick = absl::Seconds(1);
     lease::LeaseSettings lease;
+    std::function<bool()> candidate; ///< Whether this daemon should compete for the lease.
 };
 
 /// Thread-safe. start() and stop() are called from one thread.
