--- a/src/core/ids.h
+++ b/src/core/ids.h
@@ -25,7 +25,7 @@
     const std::string &str() const { return name_; }
     bool empty() const { return name_.empty(); }
 
-    friend auto operator<=>(const NamedId &, const NamedId &) = default;
+    friend auto operator<=>(const NamedId &, const NamedId &) = default; // NOLINT(modernize-use-nullptr)
 
     template<class H>
     friend H AbslHashValue(H state, const NamedId &id)
--- a/src/core/slotmap.h
+++ b/src/core/slotmap.h
@@ -18,7 +18,7 @@
     std::uint32_t index = UINT32_MAX;
     std::uint32_t generation = 0;
 
-    friend auto operator<=>(const SlotId &, const SlotId &) = default;
+    friend auto operator<=>(const SlotId &, const SlotId &) = default; // NOLINT(modernize-use-nullptr)
 
     template<class H>
     friend H AbslHashValue(H state, const SlotId &id)
