--- a/src/config/configstate.h
+++ b/src/config/configstate.h
@@ -52,6 +52,7 @@
 
 private:
     Json content() const;
+    void dropDigest(const KeyId &id);
 
     std::uint64_t number_ = 0;
     ObjectSet objects_;
--- a/src/config/freshness.h
+++ b/src/config/freshness.h
@@ -25,6 +25,8 @@
     absl::Duration freshnessBound = absl::Seconds(6);
     absl::Duration attestationAge = absl::Seconds(2); ///< Counted from when the request for it was sent.
     absl::Duration storeSilence = absl::Seconds(2); ///< A member attests after the store failed for this long.
+    /// A failure older than this proves nothing any more: one read per 2 s, 2 s of waiting for its answer, and 1 s.
+    absl::Duration storeFailureAge = absl::Seconds(5);
     absl::Duration slowAnswer = absl::Seconds(3); ///< A slower store answer counts as a failure: 1 s poll wait and 2 s.
     /// A filer counts acknowledgements for 5 s. A daemon that acknowledged a ticket and restarted could otherwise
     /// synchronise from a majority that does not hold the ticket yet, and attest without it while its lost
@@ -52,6 +54,13 @@
 };
 
 /// Feed it everything the daemon hears; ask decide() for each request. Not thread-safe.
+///
+/// Why serving is safe: a ticket is accepted only when more than half of the members hold it. A fresh daemon knows that
+/// no newer ticket existed freshnessBound ago. A daemon in outage mode has asked more than half of the members within
+/// attestationAge; one of them also acknowledged the ticket, and either named it in its answer or acknowledged it
+/// later. This needs from the callers: acknowledgements count for less than restartWait (TicketFiler), a member list
+/// changes by one daemon per version, a version is written only after the one before is in effect and by a daemon that
+/// has then read the head, and a daemon takes over a version only together with that head.
 class FreshnessTracker
 {
 public:
@@ -69,9 +78,9 @@
     /// relay, the instant before the pull was sent minus the age in the answer.
     void confirm(std::uint64_t head, Instant asOf);
 
-    /// Outcome of a store call of any kind, for the attestations of this daemon.
+    /// Outcome of a store call of any kind, for the attestations of this daemon. A failure counts from sending.
     void storeAnswered(Instant sentAt, Instant now);
-    void storeFailed(Instant now);
+    void storeFailed(Instant sentAt, Instant now);
 
     /// A member's reply to an attest{} that was sent at `sentAt`. The age counts from sending, because a reply may have
     /// waited in a socket buffer while this process was paused.
@@ -82,8 +91,12 @@
     /// What this daemon replies to attest{}.
     Attestation ownAttestation(Instant now) const;
 
-    /// True when attest{} should be sent: the configuration is older than half the freshness bound or the daemon is not
-    /// synchronised. Starting before the bound avoids a gap without service at the start of an outage.
+    /// True when the daemon should read the head from the store itself. Early enough that it can attest when its
+    /// configuration passes the freshness bound: without the attestations of most daemons there is no outage mode.
+    bool wantsStoreRead(Instant now) const { return age(now) > settings_.attestationAge; }
+
+    /// True when attest{} should be sent. Starts before the freshness bound, so that an outage does not begin with a
+    /// gap in service.
     bool wantsAttestations(Instant now) const;
 
     /// Age bound of the configuration held here, for pull responses.
@@ -111,13 +124,14 @@
 
     bool isMember() const;
     bool storeUnreachable(Instant now) const;
-    bool hasMajority(Instant now, Instant notBefore, bool countSelf) const;
-    bool holdsAllHeard(Instant now) const;
-    void acceptConfirmation(const Confirmation &confirmation);
+    bool hasMajority(Instant notBefore, bool countSelf) const;
+    bool holdsAllHeard(Instant notBefore) const;
+    void acceptConfirmation(Instant asOf);
     void synchroniseFromAnswers(Instant now);
 
     DaemonId self_;
     FreshnessSettings settings_;
+    Instant startedAt_;
     Instant synchroniseFrom_; ///< Only evidence from after this instant synchronises.
     bool synchronised_ = false;
     MemberView members_;
@@ -125,7 +139,8 @@
     std::optional<Instant> confirmedAt_; ///< No ticket above head_ existed at this instant.
     std::optional<Confirmation> pending_; ///< Newest confirmation of a head above head_.
     absl::flat_hash_map<DaemonId, Answer> answers_; ///< Last answer of each member.
-    std::optional<Instant> storeFailingSince_;
+    std::optional<Instant> storeFailingSince_; ///< When the first call after the last answered one was sent.
+    Instant lastStoreFailure_; ///< Valid if storeFailingSince_ is set.
     std::uint64_t highestHeadHeard_ = 0;
     std::uint64_t highestMembersHeard_ = 0;
 };
--- a/src/config/ticket.h
+++ b/src/config/ticket.h
@@ -134,10 +134,6 @@
 
 Json toJson(const Ticket &ticket);
 
-/// The objects of a ticket or state as the "set" field; reading reports problems with paths below `path`.
-Json toJson(const ObjectSet &objects);
-ObjectSet parseObjects(const Json &json, const std::string &path, Problems &problems);
-
 /// Paths like "keys/k1" of the objects that both tickets set or remove.
 std::vector<std::string> touchedByBoth(const Ticket &a, const Ticket &b);
 
--- a/src/config/tickethistory.h
+++ b/src/config/tickethistory.h
@@ -65,7 +65,6 @@
     };
 
     void recordTime(std::int64_t wallMs);
-    void keepSnapshot();
     void prune();
 
     TicketHistorySettings settings_;
--- a/src/lease/deadlineguard.h
+++ b/src/lease/deadlineguard.h
@@ -42,13 +42,14 @@
 
 private:
     static void handleSignal(int signal, siginfo_t *info, void *context);
+    void arm(Instant deadline);
     void expire();
 
     std::atomic<int> descriptor_{-1};
     std::atomic<bool> expired_{false};
     timer_t timer_{};
     bool armed_ = false;
-    sigset_t oldMask_{};
+    bool wasBlocked_ = false; ///< The thread blocked the signal before; the guard unblocks it for its lifetime.
     DeadlineGuard *outer_ = nullptr; ///< Guard of the same thread that was made before this one.
 };
 
--- a/src/lease/leasedecision.h
+++ b/src/lease/leasedecision.h
@@ -91,6 +91,7 @@
     };
 
     const Attempt *findAttempt(const std::string &nonce) const;
+    void confirmAttempt(const Attempt &attempt, std::uint64_t version, Instant now);
     Instant firstActAfterAcquiring(Instant now) const;
 
     DaemonId self_;
