--- a/src/server/adminapi.cpp
+++ b/src/server/adminapi.cpp
@@ -1,6 +1,7 @@
 // Handlers for operators.
 #include "server/adminapi.h"
 
+#include "config/objectjson.h"
 #include "core/error.h"
 #include "core/hash.h"
 
--- a/src/services/configservice.cpp
+++ b/src/services/configservice.cpp
@@ -138,7 +138,7 @@
     const absl::StatusOr<config::ConfigUpdate> update = reader_.poll(*held);
     if (!update.ok()) {
         const std::lock_guard lock(mutex_);
-        freshness_.storeFailed(sentAt);
+        freshness_.storeFailed(sentAt, monotonicNow());
         return false;
     }
     applyUpdate(*update);
