--- a/standins/programmain.h
+++ b/standins/programmain.h
@@ -2,6 +2,7 @@
 #ifndef CURRANTLUG_STANDINS_PROGRAMMAIN_H
 #define CURRANTLUG_STANDINS_PROGRAMMAIN_H
 
+#include <absl/status/status.h>
 #include <cxxopts.hpp>
 #include <fmt/format.h>
 
--- a/standins/standinserver.cpp
+++ b/standins/standinserver.cpp
@@ -184,11 +184,21 @@
 }
 
 bool StandinServer::pause(absl::Duration time)
+{
+    return wait(time, true);
+}
+
+bool StandinServer::pauseUnattended(absl::Duration time)
+{
+    return wait(time, false);
+}
+
+bool StandinServer::wait(absl::Duration time, bool watchPeer)
 {
     const Instant end = monotonicNow() + time;
     std::unique_lock lock(mutex_);
     for (Instant now = monotonicNow(); now < end; now = monotonicNow()) {
-        if (stopping_ || peerClosed()) {
+        if (stopping_ || (watchPeer && peerClosed())) {
             return false;
         }
         changed_.wait_for(lock, absl::ToChronoNanoseconds(std::min(end - now, PauseSlice)));
--- a/standins/standinserver.h
+++ b/standins/standinserver.h
@@ -50,6 +50,8 @@
     static bool peerClosed();
     /// Waits inside a handler; false when the stand-in stops or the peer closes the connection first.
     bool pause(absl::Duration time);
+    /// The same, but goes on when the peer closes the connection.
+    bool pauseUnattended(absl::Duration time);
 
 private:
     class Http;
@@ -57,6 +59,7 @@
     void handle(const httplib::Request &request, httplib::Response &response);
     void addFault(const httplib::Request &request, httplib::Response &response);
     void serveConnection(int socket);
+    bool wait(absl::Duration time, bool watchPeer);
     bool enter(int socket);
     void leave(int socket);
 
