--- a/bench/replicas.h
+++ b/bench/replicas.h
@@ -3,9 +3,9 @@
 #define CURRANTLUG_BENCH_REPLICAS_H
 
 #include "engine.h"
-#include "scenario.h"
 #include "fleet/replicaplanner.h"
 #include "fleet/rolloutplanner.h"
+#include "scenario.h"
 
 #include <memory>
 #include <vector>
--- a/bench/scenario.h
+++ b/bench/scenario.h
@@ -42,6 +42,7 @@
     double meanTokens = 0;
     std::size_t sharedBlocks = 0; ///< Prompt prefix common to the workspace.
     std::size_t ownBlocks = 0; ///< Blocks of a request or group alone.
+    double weight = 1; ///< Of the workspace's ticket.
     double notRepeatable = 0; ///< Share of requests that must not run twice.
     bool floods = false; ///< In the flood case this workspace sends many times its usual load.
 };
--- a/src/routing/dispatcher.cpp
+++ b/src/routing/dispatcher.cpp
@@ -40,6 +40,7 @@
 
 void Dispatcher::setEndpointLimit(const EndpointId &endpoint, const LimitSettings &siteWide, Instant now)
 {
+    impl_->endpointLimits_ = true;
     impl_->limits_.set(limitName(endpoint), siteWide, now);
 }
 
--- a/src/routing/dispatcherimpl.cpp
+++ b/src/routing/dispatcherimpl.cpp
@@ -138,7 +138,7 @@
 {
     std::vector<EndpointId> excluded = work.failedOn;
     for (const EndpointIndex row : table_.inPool(work.item.pool)) {
-        if (!endpointAllows(row)) {
+        if (endpointLimits_ && !endpointAllows(row)) {
             excluded.push_back(table_.at(row).info.id);
         }
     }
--- a/src/routing/dispatcherimpl.h
+++ b/src/routing/dispatcherimpl.h
@@ -89,6 +89,7 @@
     PrefixIndex prefixes_;
     EndpointChooser chooser_;
     Limits limits_;
+    bool endpointLimits_ = false; ///< Whether any endpoint limit was set; saves a look-up per endpoint.
     RetryBudget retries_;
     HedgePolicy hedges_;
     std::map<PoolId, detail::Pool> pools_;
