Avoid endpoints that failed recently or whose load reports are overdue

Cause: after a region cut, non-repeatable work went to unreachable endpoints until three connections per daemon had failed. Change: such endpoints get one probe at a time and no non-repeatable work while the pool has a healthy endpoint.

--- a/bench/scenario.cpp
+++ b/bench/scenario.cpp
@@ -125,6 +125,8 @@
         settings.chooser.reportAgeing = false;
     } else if (part == "speed") {
         settings.chooser.measuredSpeed = false;
+    } else if (part == "suspicion") {
+        settings.chooser.suspicion = false;
     } else if (part == "budget") {
         settings.chooser.inFlightBudget = 0;
     } else if (part == "fair_queue") {
--- a/src/routing/endpointchooser.cpp
+++ b/src/routing/endpointchooser.cpp
@@ -13,6 +13,7 @@
 constexpr double OtherRegionCost = 1;
 constexpr double VersionCost = 2;
 constexpr double EvictionCost = 2;
+constexpr double SuspectCost = 16;
 // A measured speed counts at most this many times, so that one odd measurement does not shut an endpoint out.
 constexpr double MaxSlowdown = 8;
 
@@ -80,6 +81,7 @@
             candidates.push_back(index);
         }
     }
+    dropSuspects(item, candidates, table, now);
     if (candidates.empty()) {
         return std::nullopt;
     }
@@ -104,6 +106,32 @@
     return best;
 }
 
+bool EndpointChooser::isSuspect(const EndpointState &endpoint, Instant now) const
+{
+    return endpoint.consecutiveFailures > 0
+        || (endpoint.report && endpoint.reportMeasuredAt + settings_.reportOverdue < now);
+}
+
+void EndpointChooser::dropSuspects(const WorkItem &item, std::vector<EndpointIndex> &candidates,
+                                   const EndpointTable &table, Instant now) const
+{
+    if (settings_.policy != ChoicePolicy::Scored || !settings_.suspicion) {
+        return;
+    }
+    const std::vector<EndpointIndex> &rows = table.inPool(item.pool);
+    const bool anyHealthy = std::any_of(rows.begin(), rows.end(), [&](EndpointIndex index) {
+        return table.available(index, now) && mayRun(item, table.at(index)) && !isSuspect(table.at(index), now);
+    });
+    if (!anyHealthy) {
+        // With every endpoint suspect the fault is rather here, and holding work back would make an outage of it.
+        return;
+    }
+    std::erase_if(candidates, [&](EndpointIndex index) {
+        // One request at a time probes a suspect. A lost non-repeatable request cannot be repaired, so it rather waits.
+        return isSuspect(table.at(index), now) && (table.at(index).ownRequests > 0 || !item.repeatable);
+    });
+}
+
 bool EndpointChooser::anyRoom(const PoolId &pool, const EndpointTable &table, Instant now) const
 {
     const std::vector<EndpointIndex> &rows = table.inPool(pool);
@@ -141,6 +169,9 @@
         // The load is compared with one more request, so that an idle slow endpoint is dearer than an idle fast one.
         cost = (cost + 1) * std::clamp(view.medianRate / endpoint.tokensPerSecond, 1.0, MaxSlowdown) - 1;
     }
+    if (settings_.suspicion && isSuspect(endpoint, now)) {
+        cost += SuspectCost;
+    }
     if (settings_.prefixLocality && !item.promptBlocks.empty()) {
         const double cached = static_cast<double>(prefixes.cachedPrefix(index, item.promptBlocks))
             / static_cast<double>(item.promptBlocks.size());
--- a/src/routing/endpointchooser.h
+++ b/src/routing/endpointchooser.h
@@ -44,6 +44,8 @@
     bool evictionRisk = true;
     bool reportAgeing = true;
     bool measuredSpeed = true; ///< Counts load on slow endpoints higher.
+    bool suspicion = true; ///< Avoids endpoints with recent failures or overdue load reports.
+    absl::Duration reportOverdue = absl::Seconds(3); ///< Reports come once a second; three missed ones are no accident.
     ZoneId ownZone;
     RegionId ownRegion;
     /// Requests that all daemons together keep on one endpoint; 0 is no bound. Further work waits in the fair queue.
@@ -78,6 +80,9 @@
         std::uint64_t newestVersion = 0;
     };
 
+    bool isSuspect(const EndpointState &endpoint, Instant now) const;
+    void dropSuspects(const WorkItem &item, std::vector<EndpointIndex> &candidates, const EndpointTable &table,
+                      Instant now) const;
     bool hasRoom(EndpointIndex index, const EndpointTable &table, Instant now) const;
     double othersLoad(EndpointIndex index, const EndpointTable &table, Instant now) const;
     double score(const WorkItem &item, EndpointIndex index, const EndpointTable &table, const PrefixIndex &prefixes,
--- a/tests/routing/partstest.cpp
+++ b/tests/routing/partstest.cpp
@@ -180,6 +180,32 @@
     CHECK_FALSE(chooser.choose(item, table, prefixes, {}, at(0)));
 }
 
+TEST_CASE("an endpoint with overdue reports is probed, not trusted", "[routing]")
+{
+    // Guards against sending work into a region cut until connection failures add up.
+    EndpointTable table;
+    PrefixIndex prefixes;
+    EndpointChooser chooser(ChooserSettings{});
+    for (const std::string name : {"silent", "healthy"}) {
+        table.upsert({EndpointId(name), PoolId("p"), ZoneId("z"), RegionId("r"), false});
+        table.report(EndpointId(name), {}, at(0));
+    }
+    table.report(EndpointId("healthy"), {.running = 30}, at(10));
+    const EndpointIndex silent = *table.find(EndpointId("silent"));
+    WorkItem item;
+    item.pool = PoolId("p");
+    item.repeatable = true;
+    REQUIRE(chooser.choose(item, table, prefixes, {}, at(10)) == silent);
+    table.open(silent, 1);
+    CHECK(chooser.choose(item, table, prefixes, {}, at(10)) != silent);
+    table.close(silent, 1);
+    item.repeatable = false;
+    CHECK(chooser.choose(item, table, prefixes, {}, at(10)) != silent);
+    // When all are overdue, the fault is rather this daemon's own, and work goes on.
+    table.open(silent, 1);
+    CHECK(chooser.choose(item, table, prefixes, {}, at(30)));
+}
+
 TEST_CASE("the prefix index survives gaps and late evictions", "[routing]")
 {
     // Guards against routing for months by a cache content that the engine has long dropped.
