Deliver samples exactly once by the trainer's cursor

Cause: a trainer needs each sample of a step once and fresh, over lost answers and deaths of daemons, without store writes. A slot counts its running attempts, so hedges and late answers cannot start it twice. A pull's answer is bounded in bytes, because a forwarded one must fit a mesh message. Conclusion: the cursor alone is enough as the record of delivery.

--- a/src/rollout/samplerunner.h
+++ b/src/rollout/samplerunner.h
@@ -86,8 +86,7 @@
     void enqueue(std::vector<SlotTask> tasks);
     void sweep();
     void work();
-    void runJob(Job &job);
-    std::size_t freePlaces() const;
+    void report(Job &job, absl::StatusOr<Sample> result);
 
     StepBook &book_;
     Generator &generator_;
@@ -97,12 +96,152 @@
     std::deque<std::shared_ptr<Job>> queue_;
     std::list<std::shared_ptr<Job>> running_;
     std::vector<std::thread> workers_;
-    std::size_t idleWorkers_ = 0;
+    Instant lastSweep_;
     SampleRunnerCounts counts_;
     bool stopping_ = false;
     std::thread dispatcher_;
 };
 
+template<SampleGenerator Generator>
+void SampleRunner<Generator>::stop()
+{
+    std::vector<std::thread> workers;
+    {
+        const std::lock_guard lock(mutex_);
+        stopping_ = true;
+        for (const auto &job : running_) {
+            job->cancel.cancel();
+        }
+        for (const auto &job : queue_) {
+            job->cancel.cancel();
+        }
+    }
+    jobReady_.notify_all();
+    book_.nudge();
+    if (dispatcher_.joinable()) {
+        dispatcher_.join();
+    }
+    {
+        // The dispatcher is gone, so no worker starts any more.
+        const std::lock_guard lock(mutex_);
+        workers.swap(workers_);
+    }
+    for (std::thread &worker : workers) {
+        worker.join();
+    }
+    for (const auto &job : queue_) {
+        book_.returnSlot(job->task.stepId, job->task.slot, std::move(job->task.partial));
+    }
+    queue_.clear();
+}
+
+template<SampleGenerator Generator>
+void SampleRunner<Generator>::dispatch()
+{
+    for (;;) {
+        const std::uint64_t seen = book_.changes();
+        std::size_t free = 0;
+        {
+            const std::lock_guard lock(mutex_);
+            if (stopping_) {
+                return;
+            }
+            free = settings_.maxRunning - std::min(settings_.maxRunning, running_.size() + queue_.size());
+        }
+        const Instant now = monotonicNow();
+        if (free > 0) {
+            enqueue(book_.startSlots(free, now));
+        }
+        sweep();
+        absl::Duration wait = settings_.sweepInterval;
+        // A slot that is ready now and was not started waits for a free place or for memory, both of which are changes.
+        if (const auto ready = book_.nextReady(); ready && *ready > now) {
+            wait = std::min(wait, *ready - now);
+        }
+        book_.waitForChange(seen, wait);
+    }
+}
+
+template<SampleGenerator Generator>
+void SampleRunner<Generator>::enqueue(std::vector<SlotTask> tasks)
+{
+    const std::lock_guard lock(mutex_);
+    for (SlotTask &task : tasks) {
+        auto job = std::make_shared<Job>();
+        job->task = std::move(task);
+        queue_.push_back(std::move(job));
+    }
+    counts_.started += tasks.size();
+    // A thread start can lag behind, so workers are counted from their creation on.
+    while (workers_.size() < std::min(settings_.maxRunning, running_.size() + queue_.size())) {
+        workers_.emplace_back([this] { work(); });
+    }
+    jobReady_.notify_all();
+}
+
+// Cancels work whose step is gone or whose slot the trainer has got otherwise.
+template<SampleGenerator Generator>
+void SampleRunner<Generator>::sweep()
+{
+    std::vector<std::shared_ptr<Job>> jobs;
+    {
+        const std::lock_guard lock(mutex_);
+        const Instant now = monotonicNow();
+        if (now - lastSweep_ < settings_.sweepInterval) {
+            return;
+        }
+        lastSweep_ = now;
+        jobs.assign(running_.begin(), running_.end());
+    }
+    for (const auto &job : jobs) {
+        if (!book_.wanted(job->task.stepId, job->task.slot)) {
+            job->cancel.cancel();
+        }
+    }
+}
+
+template<SampleGenerator Generator>
+void SampleRunner<Generator>::work()
+{
+    std::unique_lock lock(mutex_);
+    for (;;) {
+        jobReady_.wait(lock, [this] { return stopping_ || !queue_.empty(); });
+        if (stopping_) {
+            return;
+        }
+        running_.push_back(std::move(queue_.front()));
+        queue_.pop_front();
+        const auto place = std::prev(running_.end());
+        const std::shared_ptr<Job> job = *place;
+        lock.unlock();
+        auto result =
+            generator_.generate(job->task, job->task.prompt, job->task.maxTokens, job->task.partial, job->cancel);
+        lock.lock();
+        running_.erase(place);
+        lock.unlock();
+        report(*job, std::move(result));
+        lock.lock();
+    }
+}
+
+template<SampleGenerator Generator>
+void SampleRunner<Generator>::report(Job &job, absl::StatusOr<Sample> result)
+{
+    const SlotTask &task = job.task;
+    std::uint64_t SampleRunnerCounts::*counter = &SampleRunnerCounts::failed;
+    if (result.ok()) {
+        counter = &SampleRunnerCounts::finished;
+        book_.finishSlot(task.stepId, task.slot, *std::move(result), monotonicNow());
+    } else if (job.cancel.cancelled()) {
+        counter = &SampleRunnerCounts::cancelled;
+        book_.returnSlot(task.stepId, task.slot, std::move(job.task.partial));
+    } else {
+        book_.failSlot(task.stepId, task.slot, std::move(job.task.partial), monotonicNow());
+    }
+    const std::lock_guard lock(mutex_);
+    ++(counts_.*counter);
+}
+
 } // namespace currantlug::rollout
 
 #endif
--- a/src/rollout/step.h
+++ b/src/rollout/step.h
@@ -53,7 +53,9 @@
     absl::Duration minBackoff = absl::Milliseconds(100); ///< Before a slot is tried again after its first failure.
     absl::Duration maxBackoff = absl::Seconds(10);
     double stragglerFactor = 2.0; ///< A slot running this many times the median is a straggler.
-    std::size_t maxCheckedSamples = 64; ///< Durations kept for the median.
+    std::size_t keptDurations = 64; ///< For the median.
+    std::uint32_t fruitlessResumes = 3; ///< Failures without progress after which partial work is given up.
+    std::size_t maxAnswerBytes = 512 << 10; ///< Text of one pull's samples; fits a mesh message with JSON escapes.
 };
 
 struct DeliveredSample
@@ -93,64 +95,69 @@
     /// When the next waiting slot leaves its backoff; nullopt where none waits.
     std::optional<Instant> nextReady() const;
 
-    /// Marks a waiting slot as running and returns its partial work, which is empty where that is too old to resume.
+    /// Begins an attempt for a slot that waits, or a hedge for one that runs. Returns the partial work, which is empty
+    /// for a hedge and where it is too old to resume. Each attempt ends in one of the next three calls.
     PartialAnswer slotStarted(SlotNumber slot, Instant now);
 
-    /// Takes a sample; true if it is kept. A late sample for a slot that already has one is ignored.
+    /// Takes a sample; true if it is kept. A late sample for a slot that already has one is ignored, and one without
+    /// segments counts as a failure.
     bool slotFinished(SlotNumber slot, Sample sample, Instant now);
 
-    /// Puts a running slot back to waiting with a backoff and keeps the partial work.
+    /// Puts the slot back to waiting with a backoff, where no other attempt runs, and keeps the partial work.
     void slotFailed(SlotNumber slot, PartialAnswer partial, Instant now);
 
-    /// Puts a running slot back to waiting without a backoff, for work that was never attempted.
+    /// Like slotFailed, but without a backoff: for attempts that were stopped from here.
     void slotReturned(SlotNumber slot, PartialAnswer partial);
 
     /// Answers a pull. Samples older than `trainerVersion` minus the bound are dropped and their slots wait again; held
     /// samples that the cursor contains are freed. Errors are those of Cursor::decode.
-    absl::StatusOr<PullAnswer> pull(std::string_view cursor, WeightVersion trainerVersion, std::size_t maxSamples,
-                                    Instant now);
+    absl::StatusOr<PullAnswer> pull(std::string_view cursor, WeightVersion trainerVersion, std::size_t maxSamples);
 
     /// Running slots that have taken much longer than the median of the finished ones, longest first, and only while no
     /// slot waits. Empty until a quarter of the slots or eight have finished.
     std::vector<SlotNumber> stragglers(Instant now) const;
 
     std::uint32_t count(SlotState state) const;
+
+    /// Slots of the group without a sample.
+    std::uint32_t missingInGroupOf(SlotNumber slot) const { return missing(slots_[slot].group); }
     std::uint64_t droppedStale() const { return droppedStale_; }
 
     /// Bytes of prompts, held samples and partial work.
     std::size_t memoryBytes() const { return definitionBytes_ + sampleBytes_; }
 
 private:
+    using StateCounts = std::array<std::uint32_t, 4>; ///< Slots by SlotState.
     struct Slot
     {
         SlotState state = SlotState::Waiting;
         std::uint32_t group = 0;
-        std::uint32_t failures = 0;
-        Instant since; ///< Start of the running attempt, or the end of the backoff while waiting.
+        std::uint32_t attempts = 0; ///< Started and not yet ended, hedges and unwanted ones included.
+        std::uint32_t failures = 0; ///< Since the last sample.
+        std::uint64_t resumedTokens = 0; ///< With which the newest attempt began.
+        Instant since; ///< Start of the newest attempt, or the end of the backoff while waiting.
         std::optional<Sample> sample;
         PartialAnswer partial;
     };
-    struct Group
-    {
-        std::uint32_t missing = 0; ///< Slots that are Waiting or Running.
-        bool started = false;
-    };
 
     bool tooOld(const std::vector<Segment> &segments, WeightVersion trainerVersion) const;
+    std::uint32_t missing(std::uint32_t group) const;
     void setState(Slot &slot, SlotState state);
     void setSample(Slot &slot, std::optional<Sample> sample);
     void setPartial(Slot &slot, PartialAnswer partial);
-    void applyCursor(const SlotSet &slots, Instant now);
-    std::uint32_t dropStale(WeightVersion trainerVersion, Instant now);
-    std::vector<SlotNumber> deliveryOrder(const SlotSet &have) const;
+    void reopen(Slot &slot);
+    void applyCursor(const SlotSet &have);
+    std::uint32_t dropStale(WeightVersion trainerVersion);
+    std::vector<SlotNumber> deliveryOrder() const;
+    absl::Duration backoff(SlotNumber slot, std::uint32_t failures) const;
 
     StepDefinition definition_;
     StepSettings settings_;
     Instant deadline_;
     WeightVersion trainerVersion_ = 0;
     std::vector<Slot> slots_;
-    std::vector<Group> groups_;
-    std::array<std::uint32_t, 4> counts_{}; ///< Slots by state.
+    std::vector<StateCounts> groups_;
+    StateCounts counts_{};
     std::vector<absl::Duration> durations_; ///< Ring of the last generation times.
     std::uint64_t finished_ = 0;
     std::uint64_t droppedStale_ = 0;
--- a/src/rollout/stepbook.h
+++ b/src/rollout/stepbook.h
@@ -52,7 +52,7 @@
 {
 public:
     explicit StepBook(StepBookSettings settings = {})
-        : settings_(std::move(settings))
+        : settings_(settings)
     {
     }
 
@@ -77,7 +77,8 @@
     /// Removes the steps that nobody has asked for within the idle limit; returns their number.
     std::size_t removeIdle(Instant now);
 
-    /// Starts up to `limit` waiting slots and returns them, steps with the nearest deadline first.
+    /// Starts up to `limit` waiting slots and returns them, steps with the nearest deadline first. None while the
+    /// memory is used up; pulls free it.
     std::vector<SlotTask> startSlots(std::size_t limit, Instant now);
 
     /// When a waiting slot next leaves its backoff; nullopt where none waits.
@@ -121,6 +122,7 @@
     Entry *findEntry(StepId id);
     std::size_t memoryLocked() const;
     void changed();
+    bool awake() const;
 
     StepBookSettings settings_;
     mutable std::mutex mutex_;
