--- a/src/config/ticketfiler.h
+++ b/src/config/ticketfiler.h
@@ -78,6 +78,7 @@
     FilingResult confirm(const Ticket &ticket, const ConfigState &held);
 
 private:
+    FilingResult fileStamped(Ticket ticket, const ConfigState &held);
     /// The state at `number`, from the held state and tickets read from the store.
     absl::StatusOr<ConfigState> catchUp(const ConfigState &held, std::uint64_t number);
     /// The ticket object as it is stored, kNotFound if there is none.
@@ -98,19 +99,34 @@
 template<platform::ObjectStoreLike Store, TicketMembers Members>
 FilingResult TicketFiler<Store, Members>::file(Ticket ticket, const ConfigState &held, std::int64_t wallMs)
 {
-    if (ticket.nonce.empty()) {
+    const bool mayBeRepeated = !ticket.nonce.empty();
+    if (!mayBeRepeated) {
         ticket.nonce = randomHex(16);
     }
     ticket.filedMs = wallMs;
+    FilingResult result = fileStamped(std::move(ticket), held);
+    // This call wrote nothing, but an earlier one with the same nonce may have stored the ticket.
+    if (mayBeRepeated && result.outcome == FilingOutcome::Unavailable) {
+        const ErrorContext context = errorContext(result.error);
+        result.error = makeError(result.error.code(), context.step, context.peer, Outcome::MayHaveRun,
+                                 std::string(result.error.message()));
+    }
+    return result;
+}
+
+template<platform::ObjectStoreLike Store, TicketMembers Members>
+FilingResult TicketFiler<Store, Members>::fileStamped(Ticket ticket, const ConfigState &held)
+{
     if (ticket.number == 0) {
-        return invalid(ticket, {{"number", "the number after the state it changes", "0"}});
+        return invalid(std::move(ticket), {{"number", "the number after the state it changes", "0"}});
     }
     if (ticket.number <= held.number()) {
         return refile(std::move(ticket), held);
     }
     absl::StatusOr<ConfigState> state = catchUp(held, ticket.number - 1);
     if (state.status().code() == absl::StatusCode::kNotFound) {
-        return invalid(ticket, {{"number", "the number after the newest ticket", std::to_string(ticket.number)}});
+        const std::string found = std::to_string(ticket.number);
+        return invalid(std::move(ticket), {{"number", "the number after the newest ticket", found}});
     }
     if (!state.ok()) {
         return unavailable(std::move(ticket), state.status());
