--- a/src/services/rolloutservice.cpp
+++ b/src/services/rolloutservice.cpp
@@ -4,19 +4,29 @@
 #include "core/error.h"
 #include "core/hash.h"
 
+#include <fmt/format.h>
+
 #include <utility>
 
 namespace currantlug::services {
 
 namespace {
 
-constexpr std::size_t SampleIdBytes = 12;
+constexpr std::size_t AttemptIdBytes = 8;
 
 std::uint64_t groupNumber(const rollout::SlotTask &slot)
 {
     return stableHash(slot.trainer.str() + "/" + slot.step + "/" + slot.group) | 1;
 }
 
+/// All attempts at one slot share the part before the dot, so that what engines recorded can be matched with a sample
+/// that was resumed on several of them. The rest is unique.
+std::string attemptId(const rollout::SlotTask &slot)
+{
+    const std::uint64_t slotHash = stableHash(slot.trainer.str() + "/" + slot.step + "/" + std::to_string(slot.slot));
+    return fmt::format("{:016x}.{}", slotHash, randomHex(AttemptIdBytes));
+}
+
 std::uint64_t oldestUsefulVersion(const rollout::SlotTask &slot)
 {
     return slot.trainerVersion > slot.stalenessBound ? slot.trainerVersion - slot.stalenessBound : 0;
@@ -57,7 +67,7 @@
     CompletionCall call;
     call.authorization = *std::move(authorization);
     call.route = slot.route;
-    call.requestId = randomHex(SampleIdBytes);
+    call.requestId = attemptId(slot);
     call.prompt = prompt;
     call.maxTokens = maxTokens;
     call.seed = stableHash(slot.step + "/" + slot.group, slot.index) >> 1;
--- a/tests/scenario/callcommands.cpp
+++ b/tests/scenario/callcommands.cpp
@@ -151,7 +151,7 @@
                                        "--engines=" + engines,
                                        "--steps=" + std::to_string(command.number("steps", 2)),
                                        "--groups=" + std::to_string(command.number("groups", 4)),
-                                       "--samples-per-group=" + std::to_string(command.number("samples", 4)),
+                                       "--samples=" + std::to_string(command.number("samples", 4)),
                                        "--max-tokens=" + std::to_string(command.number("tokens", 20)),
                                        "--staleness-bound=" + std::to_string(command.number("bound", 1))};
     std::istringstream flags(command.text("flags"));
