--- a/standins/enginecompletions.cpp
+++ b/standins/enginecompletions.cpp
@@ -94,7 +94,7 @@
     attempt->seed = fieldOr<std::uint64_t>(body, "seed", 0);
     attempt->hash = textHash(attempt->prompt, attempt->seed);
     attempt->start = fieldOr<std::string>(body, "resume_text", "").size() / EngineTokenBytes;
-    attempt->length = fieldOr<std::uint64_t>(body, "max_tokens", 0);
+    attempt->length = attempt->start + fieldOr<std::uint64_t>(body, "max_tokens", 0);
     if (settings.varyLength) {
         attempt->length = 1 + stableHash("length", attempt->hash) % attempt->length;
     }
