--- a/src/mesh/transport.h
+++ b/src/mesh/transport.h
@@ -23,6 +23,8 @@
     /// The connection failed to open or has closed. Last event of a connection; not sent after stop() began.
     std::function<void(ConnectionId connection, const std::string &reason)> closed;
     std::function<void()> tick; ///< Runs each tickInterval.
+    /// An internal fault that the transport survives, for the log. Optional.
+    std::function<void(const std::string &message)> fault;
     absl::Duration tickInterval = absl::Milliseconds(200);
 };
 
