Match resumed samples with all attempts at their slot

Cause: a sample moved between engines has attempts with several request ids. Change: the audit groups attempts by the part of the id before the dot.

--- a/bench/capacity/main.cpp
+++ b/bench/capacity/main.cpp
@@ -215,10 +215,10 @@
                               Instant());
         }
         memory.points.emplace_back(slots, heapBytes() - before);
-        const auto answer = step.pull("", 1, 64, Instant());
+        const auto answer = step.pull("", 1, 64);
         cursor.points.emplace_back(slots, static_cast<double>(answer->cursor.size()));
         pull.points.emplace_back(slots,
-                                 microsecondsPerCall([&] { step.pull("", 1, 64, Instant()).status().IgnoreError(); }));
+                                 microsecondsPerCall([&] { step.pull("", 1, 64).status().IgnoreError(); }));
     }
     print(memory, "slots");
     print(cursor, "slots");
--- a/standins/sampleaudit.cpp
+++ b/standins/sampleaudit.cpp
@@ -9,6 +9,12 @@
 
 namespace {
 
+/// All attempts at one sample share the part of their request ids before the dot.
+std::string sampleOf(const std::string &requestId)
+{
+    return requestId.substr(0, requestId.find('.'));
+}
+
 constexpr std::uint64_t MaxTokensCompared = 1 << 20; ///< Keeps a wrong count in an answer from exhausting memory.
 
 } // namespace
@@ -65,7 +71,7 @@
 {
     for (const auto &[id, entries] : audit.at("requests").items()) {
         for (const Json &entry : entries) {
-            attempts_[id].push_back({.prompt = fieldOr<std::string>(entry, "prompt", ""),
+            attempts_[sampleOf(id)].push_back({.prompt = fieldOr<std::string>(entry, "prompt", ""),
                                      .text = fieldOr<std::string>(entry, "text", ""),
                                      .versions = tokenVersions(entry.value("segments", Json::array())),
                                      .start = fieldOr<std::uint64_t>(entry, "start", 0),
@@ -76,7 +82,7 @@
 
 bool SampleAudit::explains(const TakenSample &sample) const
 {
-    const auto found = attempts_.find(sample.sampleId);
+    const auto found = attempts_.find(sampleOf(sample.sampleId));
     const Tokens tokens{sample, tokenVersions(sample.segments)};
     return found != attempts_.end() && !tokens.versions.empty()
         && sample.text.size() == tokens.versions.size() * EngineTokenBytes
--- a/standins/sampleaudit.h
+++ b/standins/sampleaudit.h
@@ -52,7 +52,7 @@
     static bool explainsUpTo(const std::vector<Attempt> &attempts, const Tokens &tokens, std::uint64_t end,
                              bool isWhole);
 
-    std::map<std::string, std::vector<Attempt>> attempts_; ///< By request id.
+    std::map<std::string, std::vector<Attempt>> attempts_; ///< By the shared part of the request ids.
 };
 
 } // namespace currantlug::standins
