--- a/bench/replicas.cpp
+++ b/bench/replicas.cpp
@@ -128,6 +128,13 @@
     }));
 }
 
+std::uint32_t Replicas::starting(std::size_t pool, std::size_t zone, Instant now) const
+{
+    return static_cast<std::uint32_t>(std::count_if(all.begin(), all.end(), [&](const auto &replica) {
+        return replica->pool == pool && replica->zone == zone && replica->readyAt > now && !replica->gone;
+    }));
+}
+
 void Replicas::retire(std::size_t pool, std::size_t zone, bool cheap)
 {
     Replica *victim = nullptr;
@@ -156,19 +163,23 @@
         if (reachable) {
             zones.push_back(zone);
             demand.zones.push_back({ZoneId(site_.zones[zone].zone), count(pool, zone, false), count(pool, zone, true),
-                                    cheapBackAt_[zone] <= now});
+                                    starting(pool, zone, now), cheapBackAt_[zone] <= now});
         }
     }
     const auto plans = planners_[pool].plan(demand, now);
-    for (std::size_t i = 0; i < plans.size(); ++i) {
-        for (const bool cheap : {false, true}) {
-            const std::uint32_t want = cheap ? plans[i].cheap : plans[i].lasting;
-            const std::uint32_t have = cheap ? demand.zones[i].cheap : demand.zones[i].lasting;
-            for (std::uint32_t n = have; n < want; ++n) {
-                add(pool, zones[i], cheap, now + StartTime);
-            }
-            for (std::uint32_t n = want; n < have; ++n) {
-                retire(pool, zones[i], cheap);
+    bool ordered = false;
+    for (const bool retiring : {false, true}) {
+        for (std::size_t i = 0; i < plans.size(); ++i) {
+            for (const bool cheap : {false, true}) {
+                const std::uint32_t want = cheap ? plans[i].cheap : plans[i].lasting;
+                const std::uint32_t have = cheap ? demand.zones[i].cheap : demand.zones[i].lasting;
+                for (std::uint32_t n = have; n < want && !retiring; ++n) {
+                    add(pool, zones[i], cheap, now + StartTime);
+                    ordered = true;
+                }
+                for (std::uint32_t n = want; n < have && retiring && !ordered; ++n) {
+                    retire(pool, zones[i], cheap);
+                }
             }
         }
     }
--- a/bench/replicas.h
+++ b/bench/replicas.h
@@ -50,6 +50,7 @@
 
 private:
     std::uint32_t count(std::size_t pool, std::size_t zone, bool cheap) const;
+    std::uint32_t starting(std::size_t pool, std::size_t zone, Instant now) const;
     void retire(std::size_t pool, std::size_t zone, bool cheap);
     void crashSome(std::size_t howMany, Instant now, Instant until, std::vector<Replica *> &crashed);
     void evictZone(std::size_t zone, Instant now, Instant until);
--- a/bench/simulation.cpp
+++ b/bench/simulation.cpp
@@ -268,7 +268,7 @@
         }
         demand.untilDeadline = absl::Seconds(TrainSeconds);
         demand.repeatableShare = pool == 0 ? 1 : 0.9;
-        demand.replicaTokensPerSecond = pool == 0 ? 490 : 270; // At batches of 16 and 6 streams.
+        demand.replicaTokensPerSecond = pool == 0 ? 560 : 270; // At batches of 22 and 6 streams.
         demand.minimum = pool == 0 ? 4 : 2;
         demand.maximum = pool == 0 ? 16 : 6;
         demand.lastingPrice = LastingPrice;
--- a/src/fleet/replicaplanner.cpp
+++ b/src/fleet/replicaplanner.cpp
@@ -99,8 +99,12 @@
         ? static_cast<std::uint32_t>(
             std::count_if(demand.zones.begin(), demand.zones.end(), [](const auto &z) { return z.cheapAvailable; }))
         : 0;
-    const std::uint32_t notRepeatable =
+    std::uint32_t notRepeatable =
         replicasFor(rate * (1 - demand.repeatableShare) / settings_.targetUse, demand.replicaTokensPerSecond);
+    if (demand.repeatableShare < 1) {
+        // Calls that cannot be repeated have nowhere to go while their only lasting replica is down.
+        notRepeatable = std::max(notRepeatable, 2U);
+    }
     Mix mix;
     for (;; --total) {
         const auto floor = static_cast<std::uint32_t>(std::ceil(settings_.lastingShare * total));
@@ -122,9 +126,13 @@
     }
     spread(mix.lasting, std::vector<bool>(demand.zones.size(), true), haveLasting, lasting);
     spread(mix.cheap, cheapAllowed, haveCheap, cheap);
+    const bool anyStarting =
+        std::any_of(demand.zones.begin(), demand.zones.end(), [](const auto &z) { return z.starting > 0; });
     std::vector<ZonePlan> plans;
     for (std::size_t zone = 0; zone < demand.zones.size(); ++zone) {
-        plans.push_back({demand.zones[zone].zone, lasting[zone], cheap[zone]});
+        plans.push_back({demand.zones[zone].zone,
+                         anyStarting ? std::max(lasting[zone], haveLasting[zone]) : lasting[zone],
+                         anyStarting ? std::max(cheap[zone], haveCheap[zone]) : cheap[zone]});
     }
     return plans;
 }
--- a/src/fleet/replicaplanner.h
+++ b/src/fleet/replicaplanner.h
@@ -18,6 +18,7 @@
     ZoneId zone;
     std::uint32_t lasting = 0; ///< Replicas there now, started or starting; not leaving and not known to be failed.
     std::uint32_t cheap = 0;
+    std::uint32_t starting = 0; ///< Of both together: ordered and not serving yet.
     bool cheapAvailable =
         true; ///< False after an eviction or a refused order, until the platform offers cheap ones again.
 };
@@ -51,11 +52,12 @@
 struct ReplicaPlannerSettings
 {
     double targetUse = 0.75; ///< Planned load of the replicas; the rest absorbs bursts and single failures.
-    double lastingShare = 0.4; ///< Of the needed replicas, at least this share is lasting: all cheap ones can vanish.
+    double lastingShare = 0.25; ///< Of the needed replicas, at least this share is lasting: all cheap ones can vanish.
     absl::Duration scaleDownAfter = absl::Minutes(3); ///< Fewer replicas only when none more were wanted this long.
     bool cheap = true; ///< Switch: off orders lasting replicas only.
 };
 
+/// Nothing is retired while replicas are starting, so that a change of the mix does not lower the capacity meanwhile.
 /// One per pool. Its only state is the recent wanted totals. Not thread-safe.
 class ReplicaPlanner
 {
