Plan replicas for steps by their tokens and deadlines

Cause: a smoothed arrival rate of bursty steps overestimates: 3,220 to 4,450 tokens/s were seen for a load of 3,450. Change: the demand of a trainer is its step's tokens over the step's time; only other work is smoothed.

--- a/bench/simulation.cpp
+++ b/bench/simulation.cpp
@@ -26,7 +26,7 @@
     , noise_(seed)
     , nextArrival_(site.workspaces.size())
     , services_(site.workspaces.size())
-    , arriving_(site.pools.size(), 0)
+    , arriving_(site.workspaces.size(), 0)
 {
     for (std::size_t daemon = 0; daemon < Daemons; ++daemon) {
         routing::DispatcherSettings settings = variant.settings;
@@ -158,7 +158,7 @@
 
 void Simulation::submit(std::size_t daemon, Job job, Instant now)
 {
-    arriving_[site_.workspaces[job.workspace].pool] += job.item.expectedTokens / PlanWindow;
+    arriving_[job.workspace] += job.item.expectedTokens / PlanWindow;
     const routing::Admission admission = daemons_[daemon]->submit(job.item, now);
     if (admission.queued) {
         jobs_[{daemon, admission.work}] = std::move(job);
@@ -259,10 +259,17 @@
         if (seconds(now) < 60) {
             continue;
         }
-        demand.arrivingTokensPerSecond = arriving_[pool] / (1 - std::exp(-seconds(now) / PlanWindow));
+        for (std::size_t i = 0; i < site_.workspaces.size(); ++i) {
+            if (site_.workspaces[i].pool == pool && !site_.workspaces[i].trainer) {
+                demand.arrivingTokensPerSecond += arriving_[i] / (1 - std::exp(-seconds(now) / PlanWindow));
+            }
+        }
+        // Steps arrive in bursts; what they need is known from their tokens and deadlines.
         for (const Trainer &trainer : trainers_) {
-            if (pool == 0 && trainer.step > 0) {
+            const WorkspaceSpec &spec = site_.workspaces[trainer.workspace];
+            if (spec.pool == pool && trainer.step > 0) {
                 const double left = std::max(15.0, absl::ToDoubleSeconds(trainer.due - now));
+                demand.arrivingTokensPerSecond += spec.groups * GroupSize * spec.meanTokens / TrainSeconds;
                 demand.outstandingTokens += trainer.outstandingTokens / left * TrainSeconds;
             }
         }
--- a/bench/simulation.h
+++ b/bench/simulation.h
@@ -115,7 +115,7 @@
     std::map<AttemptKey, Running> running_;
     std::multimap<Instant, std::pair<std::size_t, Job>> resubmit_;
     std::map<EndpointId, std::pair<Instant, routing::LoadReport>> lastReports_;
-    std::vector<double> arriving_; ///< Per pool, tokens/s, smoothed.
+    std::vector<double> arriving_; ///< Per workspace, tokens/s, smoothed.
     std::uint64_t unique_ = 0;
     double refused_ = 0;
     double late_ = 0;
