Apply ticket limits of workspaces in the bench

Change: demand of a workspace counts up to its ticket limit (four times its usual load), and the dispatchers enforce the limit; switch `limits`.

--- a/bench/scenario.cpp
+++ b/bench/scenario.cpp
@@ -97,7 +97,7 @@
 
 Variant policy()
 {
-    Variant variant{.name = "policy", .planner = true, .resume = true};
+    Variant variant{.name = "policy", .planner = true, .limits = true, .resume = true};
     variant.settings.chooser.inFlightBudget = 24;
     return variant;
 }
@@ -137,6 +137,8 @@
         settings.retries.enabled = false;
     } else if (part == "hedges") {
         settings.hedges.enabled = false;
+    } else if (part == "limits") {
+        variant.limits = false;
     } else if (part == "resume") {
         variant.resume = false;
     } else if (part == "planner") {
--- a/bench/scenario.h
+++ b/bench/scenario.h
@@ -62,6 +62,7 @@
     routing::DispatcherSettings settings;
     bool planner = false; ///< Replicas follow ReplicaPlanner instead of staying fixed.
     bool cheapPlanned = true; ///< The planner may order cheap replicas.
+    bool limits = false; ///< Workspaces have token limits.
     bool resume = false; ///< Failed repeatable work goes on from its tokens, and leaving endpoints are emptied.
 };
 
--- a/bench/simulation.cpp
+++ b/bench/simulation.cpp
@@ -14,6 +14,12 @@
     return absl::ToDoubleSeconds(at.sinceOrigin());
 }
 
+/// The ticket limit of a workspace in generated tokens/s: four times its usual load.
+double limitOf(const WorkspaceSpec &spec)
+{
+    return 4 * spec.arrivals * spec.meanTokens;
+}
+
 } // namespace
 
 Simulation::Simulation(const Site &site, Case what, const Variant &variant, std::uint64_t seed, double duration)
@@ -36,7 +42,10 @@
         settings.seed = seed + daemon;
         daemons_.push_back(std::make_unique<routing::Dispatcher>(settings));
         for (const WorkspaceSpec &spec : site.workspaces) {
-            daemons_.back()->setWorkspace(WorkspaceId(spec.name), spec.weight, {}, Instant());
+            // Limits count prompt tokens too, which here are about as many as the generated ones.
+            const double limit = variant.limits && !spec.trainer ? 2 * limitOf(spec) : 0;
+            daemons_.back()->setWorkspace(WorkspaceId(spec.name), spec.weight, {.tokensPerSecond = limit}, Instant());
+            daemons_.back()->setLiveDaemons(Daemons, Instant());
         }
     }
     for (std::size_t i = 0; i < site.workspaces.size(); ++i) {
@@ -261,7 +270,8 @@
         }
         for (std::size_t i = 0; i < site_.workspaces.size(); ++i) {
             if (site_.workspaces[i].pool == pool && !site_.workspaces[i].trainer) {
-                demand.arrivingTokensPerSecond += arriving_[i] / (1 - std::exp(-seconds(now) / PlanWindow));
+                const double rate = arriving_[i] / (1 - std::exp(-seconds(now) / PlanWindow));
+                demand.arrivingTokensPerSecond += std::min(rate, limitOf(site_.workspaces[i]));
             }
         }
         // Steps arrive in bursts; what they need is known from their tokens and deadlines.
