--- a/bench/simulation.cpp
+++ b/bench/simulation.cpp
@@ -14,6 +14,12 @@
     return absl::ToDoubleSeconds(at.sinceOrigin());
 }
 
+/// The ticket limit of a workspace in generated tokens/s: four times its usual load.
+double limitOf(const WorkspaceSpec &spec)
+{
+    return 4 * spec.arrivals * spec.meanTokens;
+}
+
 } // namespace
 
 Simulation::Simulation(const Site &site, Case what, const Variant &variant, std::uint64_t seed, double duration)
@@ -26,7 +32,7 @@
     , noise_(seed)
     , nextArrival_(site.workspaces.size())
     , services_(site.workspaces.size())
-    , arriving_(site.pools.size(), 0)
+    , arriving_(site.workspaces.size(), 0)
 {
     for (std::size_t daemon = 0; daemon < Daemons; ++daemon) {
         routing::DispatcherSettings settings = variant.settings;
@@ -36,7 +42,10 @@
         settings.seed = seed + daemon;
         daemons_.push_back(std::make_unique<routing::Dispatcher>(settings));
         for (const WorkspaceSpec &spec : site.workspaces) {
-            daemons_.back()->setWorkspace(WorkspaceId(spec.name), spec.weight, {}, Instant());
+            // Limits count prompt tokens too, which here are about as many as the generated ones.
+            const double limit = variant.limits && !spec.trainer ? 2 * limitOf(spec) : 0;
+            daemons_.back()->setWorkspace(WorkspaceId(spec.name), spec.weight, {.tokensPerSecond = limit}, Instant());
+            daemons_.back()->setLiveDaemons(Daemons, Instant());
         }
     }
     for (std::size_t i = 0; i < site.workspaces.size(); ++i) {
@@ -158,7 +167,7 @@
 
 void Simulation::submit(std::size_t daemon, Job job, Instant now)
 {
-    arriving_[site_.workspaces[job.workspace].pool] += job.item.expectedTokens / PlanWindow;
+    arriving_[job.workspace] += job.item.expectedTokens / PlanWindow;
     const routing::Admission admission = daemons_[daemon]->submit(job.item, now);
     if (admission.queued) {
         jobs_[{daemon, admission.work}] = std::move(job);
@@ -259,16 +268,24 @@
         if (seconds(now) < 60) {
             continue;
         }
-        demand.arrivingTokensPerSecond = arriving_[pool] / (1 - std::exp(-seconds(now) / PlanWindow));
+        for (std::size_t i = 0; i < site_.workspaces.size(); ++i) {
+            if (site_.workspaces[i].pool == pool && !site_.workspaces[i].trainer) {
+                const double rate = arriving_[i] / (1 - std::exp(-seconds(now) / PlanWindow));
+                demand.arrivingTokensPerSecond += std::min(rate, limitOf(site_.workspaces[i]));
+            }
+        }
+        // Steps arrive in bursts; what they need is known from their tokens and deadlines.
         for (const Trainer &trainer : trainers_) {
-            if (pool == 0 && trainer.step > 0) {
+            const WorkspaceSpec &spec = site_.workspaces[trainer.workspace];
+            if (spec.pool == pool && trainer.step > 0) {
                 const double left = std::max(15.0, absl::ToDoubleSeconds(trainer.due - now));
+                demand.arrivingTokensPerSecond += spec.groups * GroupSize * spec.meanTokens / TrainSeconds;
                 demand.outstandingTokens += trainer.outstandingTokens / left * TrainSeconds;
             }
         }
         demand.untilDeadline = absl::Seconds(TrainSeconds);
         demand.repeatableShare = pool == 0 ? 1 : 0.9;
-        demand.replicaTokensPerSecond = pool == 0 ? 490 : 270; // At batches of 16 and 6 streams.
+        demand.replicaTokensPerSecond = pool == 0 ? 560 : 270; // At batches of 22 and 6 streams.
         demand.minimum = pool == 0 ? 4 : 2;
         demand.maximum = pool == 0 ? 16 : 6;
         demand.lastingPrice = LastingPrice;
