Check keys, claim non-idempotent calls and answer errors

Cause: endpoints must never see a caller's key, a non-idempotent call must run at most once, and a caller must be told truly what became of its request. Call tokens and the error answers follow.

--- a/src/requests/calltokens.h
+++ b/src/requests/calltokens.h
@@ -9,11 +9,10 @@
 #include <absl/status/status.h>
 #include <absl/status/statusor.h>
 
-#include <cstdint>
+#include <deque>
 #include <optional>
 #include <string>
 #include <string_view>
-#include <vector>
 
 namespace currantlug::requests {
 
@@ -34,7 +33,8 @@
 std::optional<CallTokenOrigin> callTokenOrigin(std::string_view token);
 
 /// Tokens of this daemon's incarnation, kept in memory only. Not thread-safe. A token moves from issued to used once,
-/// before the call runs, and is never issued again.
+/// before the call runs, and is never issued again. "Not run" is claimed only for a token that is known to be unused,
+/// because an earlier use of the same token may have run.
 class CallTokens
 {
 public:
@@ -47,9 +47,9 @@
     /// A new token for one call of the workspace on the route. Errors: kResourceExhausted.
     absl::StatusOr<std::string> issue(const WorkspaceId &workspace, const RouteId &route, Instant now);
 
-    /// Uses the token; OK exactly once. Errors: kInvalidArgument (no token of this daemon, not run), kPermissionDenied
-    /// (workspace or route differ, not run), kFailedPrecondition (bound to an earlier incarnation, may have run),
-    /// kAlreadyExists (used before, may have run), kNotFound (expired or never issued, may have run).
+    /// Uses the token; OK exactly once. Errors: kInvalidArgument (no token), kPermissionDenied (workspace or route
+    /// differ), kFailedPrecondition (bound to another daemon or an earlier incarnation), kAlreadyExists (used before),
+    /// kNotFound (expired, or never issued here).
     absl::Status use(std::string_view token, const WorkspaceId &workspace, const RouteId &route, Instant now);
 
     std::size_t size() const { return tokens_.size(); }
@@ -67,8 +67,7 @@
     CallTokenOrigin origin_;
     CallTokenSettings settings_;
     absl::flat_hash_map<std::string, Token> tokens_; ///< By the random part of the token.
-    std::vector<std::pair<Instant, std::string>> byExpiry_; ///< In order of issue, from firstExpiry_ on.
-    std::size_t firstExpiry_ = 0;
+    std::deque<std::pair<Instant, std::string>> byExpiry_; ///< In order of issue.
 };
 
 } // namespace currantlug::requests
--- a/src/requests/claimdriver.h
+++ b/src/requests/claimdriver.h
@@ -4,8 +4,13 @@
 
 #include "requests/claimlog.h"
 
+#include <absl/time/clock.h>
+
 #include <chrono>
 #include <condition_variable>
+#include <map>
+#include <memory>
+#include <mutex>
 #include <thread>
 
 namespace currantlug::requests {
@@ -58,6 +63,91 @@
     std::thread thread_;
 };
 
+template<platform::ObjectStoreLike Store>
+std::vector<ClaimResult> ClaimDriver<Store>::claim(const std::vector<std::string> &ids, absl::Duration maxWait)
+{
+    const auto call = std::make_shared<Call>();
+    call->results.assign(ids.size(), ClaimResult::Unavailable);
+    std::unique_lock lock(mutex_);
+    if (stopping_) {
+        return call->results;
+    }
+    for (std::size_t index = 0; index < ids.size(); ++index) {
+        if (const auto ticket = batch_.add(ids[index]); ticket) {
+            places_.emplace(*ticket, Place{call, index});
+            ++call->open;
+        }
+    }
+    if (!thread_.joinable()) {
+        thread_ = std::thread([this] { work(); });
+    }
+    changed_.notify_one();
+    answered_.wait_for(lock, absl::ToChronoMicroseconds(maxWait), [&call] { return call->open == 0; });
+    return call->results;
+}
+
+template<platform::ObjectStoreLike Store>
+void ClaimDriver<Store>::stop()
+{
+    {
+        const std::lock_guard lock(mutex_);
+        stopping_ = true;
+    }
+    changed_.notify_one();
+    if (thread_.joinable()) {
+        thread_.join();
+    }
+}
+
+template<platform::ObjectStoreLike Store>
+void ClaimDriver<Store>::work()
+{
+    std::unique_lock lock(mutex_);
+    while (!stopping_) {
+        const auto due = batch_.due();
+        const Instant now = monotonicNow();
+        if (!due) {
+            changed_.wait(lock);
+        } else if (now < *due) {
+            changed_.wait_for(lock, absl::ToChronoMicroseconds(*due - now));
+        } else {
+            appendDue(lock);
+        }
+    }
+    for (auto &[ticket, place] : places_) {
+        --place.call->open;
+    }
+    places_.clear();
+    answered_.notify_all();
+}
+
+template<platform::ObjectStoreLike Store>
+void ClaimDriver<Store>::appendDue(std::unique_lock<std::mutex> &lock)
+{
+    const auto taken = batch_.take(monotonicNow());
+    lock.unlock();
+    std::vector<std::string> ids;
+    for (const ClaimBatch::Waiting &waiting : taken) {
+        ids.push_back(waiting.id);
+    }
+    const std::int64_t wallMs = absl::ToUnixMillis(absl::Now());
+    const auto results = log_.append(ids, monotonicNow(), wallMs);
+    lock.lock();
+    for (std::size_t i = 0; i < taken.size(); ++i) {
+        const auto place = places_.find(taken[i].ticket);
+        place->second.call->results[place->second.index] = results[i];
+        --place->second.call->open;
+        places_.erase(place);
+    }
+    answered_.notify_all();
+    lock.unlock();
+    // Two removals for each append keep the log at its retention; a failed one is tried again after the next append.
+    constexpr std::size_t RemovalsPerAppend = 2;
+    log_.removeOld(wallMs, RemovalsPerAppend).IgnoreError();
+    lock.lock();
+    batch_.finished();
+}
+
 } // namespace currantlug::requests
 
 #endif
--- a/src/requests/keycheck.h
+++ b/src/requests/keycheck.h
@@ -3,6 +3,8 @@
 #ifndef CURRANTLUG_REQUESTS_KEYCHECK_H
 #define CURRANTLUG_REQUESTS_KEYCHECK_H
 
+#include "requests/keyredactor.h"
+
 #include <absl/status/statusor.h>
 
 #include <string>
@@ -26,26 +28,6 @@
 /// Keys shorter than this are refused: their text would be found by chance in ordinary requests.
 inline constexpr std::size_t MinKeyBytes = 8;
 
-/// Removes a key from texts. Holds the key's text, so it is never logged or stored.
-class KeyRedactor
-{
-public:
-    KeyRedactor() = default;
-    explicit KeyRedactor(std::string key);
-
-    /// The text with the key, in plain, percent-encoded, JSON-escaped or base64 form, replaced by "[key]".
-    std::string redact(std::string_view text) const;
-
-    /// True where the text holds the key in one of these forms.
-    bool occursIn(std::string_view text) const;
-
-    bool empty() const { return key_.empty(); }
-
-private:
-    std::string key_;
-    std::vector<std::string> forms_; ///< Texts that stand for the key, longest first.
-};
-
 /// A request whose key has been taken out.
 struct KeyedRequest
 {
--- a/src/requests/requestoutcome.h
+++ b/src/requests/requestoutcome.h
@@ -3,7 +3,7 @@
 #define CURRANTLUG_REQUESTS_REQUESTOUTCOME_H
 
 #include "core/error.h"
-#include "requests/keycheck.h"
+#include "requests/keyredactor.h"
 
 #include <absl/status/status.h>
 #include <absl/time/time.h>
