--- a/src/membership/endpointlist.h
+++ b/src/membership/endpointlist.h
@@ -22,7 +22,7 @@
     ZoneId zone;
     bool cheap = false;
     bool checksFencing = false;
-    bool draining = false; ///< A ticket drains it.
+    bool draining = false; ///< A ticket drains it. Lifting the drain does not return the incarnation that was drained.
 };
 
 /// A VM as the platform lists it; it concerns every endpoint whose address has the VM's host.
@@ -65,7 +65,8 @@
 class EndpointList
 {
 public:
-    /// Replaces the configured endpoints. An endpoint that is no longer listed is forgotten, with its incarnations.
+    /// Replaces the configured endpoints. An endpoint that is no longer listed, or is listed with another address, is
+    /// forgotten with its incarnations.
     void applyConfig(const std::vector<EndpointInput> &endpoints, Instant now);
     /// A VM that is missing from the list says nothing: the list lags behind new VMs, too.
     void applyVms(const std::vector<VmInput> &vms, Instant now);
@@ -79,15 +80,27 @@
     EndpointCounts counts(const PoolId &pool) const;
 
 private:
+    /// What the sources said about one endpoint. A VM and the engine process on it each have an incarnation: a
+    /// restarted process does not bring back a leaving VM, while a replaced VM comes with a new process.
     struct Tracked
     {
         EndpointEntry entry;
-        /// Incarnations by source ("vm:" or "load:" and the name). Statements about a departed one are ignored.
-        std::set<std::string> departed;
-        std::string currentVm; ///< Newest incarnation that the VM list stated; empty before.
-        std::string currentLoad; ///< Newest incarnation that load reports stated; empty before.
+        std::string vm; ///< Newest VM name; empty until the VM list states one.
+        std::string process; ///< Newest incarnation in load reports; empty until one is stated.
+        std::set<std::string> departedVms; ///< Names that left or were replaced. Statements about them are ignored.
+        std::set<std::string> departedProcesses;
+        LeavingSource vmLeft = LeavingSource::None; ///< VmList or Eviction while the newest VM is leaving.
+        bool processLeft = false; ///< The newest process says that it is leaving.
+        bool ticketLeft = false; ///< A ticket drained it, and no newer incarnation has come with the drain lifted.
+        bool renewedSinceDrain = false; ///< A newer incarnation has come since the drain began.
     };
 
+    static void vmLeaves(Tracked &tracked, const std::string &name, LeavingSource source);
+    static void vmLives(Tracked &tracked, const std::string &name);
+    static void processLives(Tracked &tracked, const std::string &incarnation);
+    static void refresh(Tracked &tracked, Instant now);
+    void applyVm(const VmInput &vm, Instant now);
+
     std::map<EndpointId, Tracked> endpoints_;
 };
 
