--- a/src/lease/leasedecision.cpp
+++ b/src/lease/leasedecision.cpp
@@ -8,9 +8,6 @@
 
 void LeaseDecision::observe(std::uint64_t version, const std::optional<LeaseRecord> &record, Instant now)
 {
-    if (seenSince_ && version < version_) {
-        return; // An answer that was overtaken by a newer one.
-    }
     const Attempt *attempt = record ? findAttempt(record->nonce) : nullptr;
     if (attempt != nullptr) {
         confirmAttempt(*attempt, version, now);
@@ -33,10 +30,10 @@
     if (held_ || !seenSince_) {
         return false;
     }
-    if (!record_ || record_->holder.empty()) {
+    if (record_ && record_->holder.empty()) {
         return true;
     }
-    return now - *seenSince_ >= record_->duration + settings_.margin;
+    return now - *seenSince_ >= holderDuration() + settings_.margin;
 }
 
 bool LeaseDecision::mayAct(Instant now) const
@@ -62,7 +59,7 @@
 
 void LeaseDecision::written(const std::string &nonce, std::uint64_t version, Instant now)
 {
-    if (const Attempt *attempt = findAttempt(nonce); attempt != nullptr && version > version_) {
+    if (const Attempt *attempt = findAttempt(nonce); attempt != nullptr) {
         confirmAttempt(*attempt, version, now);
     }
 }
@@ -109,10 +106,16 @@
 Instant LeaseDecision::firstActAfterAcquiring(Instant now) const
 {
     const absl::Duration afterLapse = settings_.sendBound + settings_.tcpUserTimeout;
-    if (!record_ || record_->holder.empty()) {
+    if (record_ && record_->holder.empty()) {
         return now + afterLapse;
     }
-    return *seenSince_ + record_->duration + settings_.margin + afterLapse;
+    return *seenSince_ + holderDuration() + settings_.margin + afterLapse;
+}
+
+// Without an object there may still be a holder: somebody may have deleted the object by hand.
+absl::Duration LeaseDecision::holderDuration() const
+{
+    return record_ ? record_->duration : settings_.duration;
 }
 
 } // namespace currantlug::lease
--- a/src/lease/leasedecision.h
+++ b/src/lease/leasedecision.h
@@ -37,12 +37,12 @@
     {
     }
 
-    /// What a read found, at the instant the answer arrived; version 0 and no record where there is no object. Also
-    /// resolves writes of this process whose answers were lost, by their nonces.
+    /// What a read found, at the instant the answer arrived. Reads must not overtake each other. Version 0 and no
+    /// record where there is no object. Also resolves writes of this process whose answers were lost, by their nonces.
     void observe(std::uint64_t version, const std::optional<LeaseRecord> &record, Instant now);
 
-    /// True if this process does not hold the lease and the record is released, absent, or was seen unchanged for its
-    /// duration and the margin.
+    /// True if this process does not hold the lease, and the record is released or was seen unchanged for its duration
+    /// and the margin.
     bool mayAcquire(Instant now) const;
 
     /// True if this process holds the lease, has waited for the bytes of its predecessor, and the lease has not lapsed.
@@ -93,6 +93,7 @@
     const Attempt *findAttempt(const std::string &nonce) const;
     void confirmAttempt(const Attempt &attempt, std::uint64_t version, Instant now);
     Instant firstActAfterAcquiring(Instant now) const;
+    absl::Duration holderDuration() const;
 
     DaemonId self_;
     LeaseSettings settings_;
