Resolve the source of proxied links when they are cut

Cause: a region cut left a link up whose source was not known by name when it was accepted (x03 saw daemon-3 fresh). Change: names are resolved again at the cut, under a lock.

--- a/tests/scenario/linkproxy.cpp
+++ b/tests/scenario/linkproxy.cpp
@@ -18,7 +18,8 @@
 
 struct LinkProxy::Pair
 {
-    std::string source;
+    std::string source; ///< Empty while unknown: a process that has just started may not be known by name yet.
+    int sourcePort = 0;
     int client = -1;
     int server = -1;
     std::atomic<bool> silent{false};
@@ -151,7 +152,8 @@
         }
         auto pair = std::make_shared<Pair>();
         pair->client = client;
-        pair->source = nameSource_(ntohs(from.sin_port));
+        pair->sourcePort = ntohs(from.sin_port);
+        pair->source = nameSource_(pair->sourcePort);
         pair->server = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
         const std::lock_guard lock(mutex_);
         const sockaddr_in to = loopback(target_);
@@ -209,6 +211,11 @@
     {
         const std::lock_guard lock(mutex_);
         cut_.insert(source);
+        for (const auto &pair : pairs_) {
+            if (pair->source.empty()) {
+                pair->source = nameSource_(pair->sourcePort);
+            }
+        }
     }
     closeWhere([&](const Pair &pair) { return source == "*" || pair.source == source; });
 }
--- a/tests/scenario/site.cpp
+++ b/tests/scenario/site.cpp
@@ -106,6 +106,10 @@
     arguments.insert(arguments.end(), settings_.daemonFlags.begin(), settings_.daemonFlags.end());
     entry.process =
         std::make_unique<ChildProcess>(program("currantlugd"), arguments, logFolder_ + "/" + entry.name + ".log");
+    {
+        const std::lock_guard lock(namesMutex_);
+        names_[entry.process->pid()] = entry.name;
+    }
     entry.callerPort = portIn(entry.process->readLine());
     entry.adminPort = portIn(entry.process->readLine());
     const int meshPort = portIn(entry.process->readLine());
@@ -123,19 +127,13 @@
 
 std::string Site::daemonOfPort(int port)
 {
+    const std::lock_guard lock(namesMutex_);
     std::vector<pid_t> pids;
-    for (const DaemonProcess &entry : daemons_) {
-        if (entry.process) {
-            pids.push_back(entry.process->pid());
-        }
-    }
-    const pid_t owner = ownerOfPort(port, pids);
-    for (const DaemonProcess &entry : daemons_) {
-        if (entry.process && entry.process->pid() == owner) {
-            return entry.name;
-        }
+    for (const auto &[pid, name] : names_) {
+        pids.push_back(pid);
     }
-    return {};
+    const auto owner = names_.find(ownerOfPort(port, pids));
+    return owner == names_.end() ? "" : owner->second;
 }
 
 void Site::cutMesh(int a, int b, bool cut)
--- a/tests/scenario/site.h
+++ b/tests/scenario/site.h
@@ -8,7 +8,9 @@
 
 #include <httplib.h>
 
+#include <map>
 #include <memory>
+#include <mutex>
 #include <string>
 #include <vector>
 
@@ -91,6 +93,8 @@
     StandinProcess platform_;
     std::vector<StandinProcess> engines_;
     std::vector<StandinProcess> services_;
+    std::mutex namesMutex_;
+    std::map<pid_t, std::string> names_; ///< Daemons by process, read by the proxies' threads.
     std::vector<DaemonProcess> daemons_;
 };
 
