--- a/tests/standins/trainertest.cpp
+++ b/tests/standins/trainertest.cpp
@@ -25,6 +25,8 @@
         REQUIRE(server.start(0).ok());
     }
 
+    ~FakeDaemon() { server.stop(); }
+
     std::string address() const { return "127.0.0.1:" + std::to_string(server.port()); }
 
     StandinServer server;
