--- a/bench/scenario.cpp
+++ b/bench/scenario.cpp
@@ -98,7 +98,7 @@
 Variant policy()
 {
     Variant variant{.name = "policy", .planner = true, .limits = true, .resume = true};
-    variant.settings.chooser.inFlightBudget = 24;
+    variant.settings.chooser.inFlightBudget = 22;
     return variant;
 }
 
