Measure stream rates while streams run

Cause: a degraded endpoint showed only when its slow streams finished. Change: the rate of an endpoint is updated each 32 tokens of a stream instead of at its end.

--- a/src/routing/dispatcherimpl.cpp
+++ b/src/routing/dispatcherimpl.cpp
@@ -15,6 +15,9 @@
 constexpr absl::Duration HedgeInterval = absl::Milliseconds(200);
 // A response longer than expected still occupies its endpoint; this much is assumed to be left.
 constexpr double OverrunTokens = 16;
+// A stream's rate is measured each time it has produced this many tokens: slow endpoints show before they finish
+// anything.
+constexpr double RatedTokens = 32;
 
 } // namespace
 
@@ -222,7 +225,8 @@
                              .endpoint = endpoint,
                              .hedge = hedge,
                              .progress = {.startedAt = now, .lastTokenAt = now},
-                             .tokensLeft = cost});
+                             .tokensLeft = cost,
+                             .ratedAt = now});
     table_.open(row, cost);
     prefixes_.placed(row, work.item.promptBlocks, now);
     limits_.takeRate(limitName(work.item.workspace), cost, now);
@@ -257,6 +261,14 @@
     attempt.progress.started = true;
     attempt.progress.lastTokenAt = now;
     attempt.progress.tokens += count;
+    if (attempt.progress.tokens - attempt.ratedTokens >= RatedTokens) {
+        const double elapsed = absl::ToDoubleSeconds(now - attempt.ratedAt);
+        if (elapsed > 0) {
+            table_.observeRate(attempt.row, (attempt.progress.tokens - attempt.ratedTokens) / elapsed);
+        }
+        attempt.ratedTokens = attempt.progress.tokens;
+        attempt.ratedAt = now;
+    }
     const double used = std::min<double>(count, std::max(0.0, attempt.tokensLeft - OverrunTokens));
     attempt.tokensLeft -= used;
     table_.progress(attempt.row, used);
@@ -316,7 +328,6 @@
     const double seconds = absl::ToDoubleSeconds(now - attempt->progress.startedAt);
     if (seconds > 0 && attempt->progress.tokens > 0) {
         hedges_.observeRate(attempt->progress.tokens / seconds);
-        table_.observeRate(attempt->row, attempt->progress.tokens / seconds);
     }
     table_.succeeded(attempt->row);
     retries_.succeeded();
--- a/src/routing/dispatcherimpl.h
+++ b/src/routing/dispatcherimpl.h
@@ -18,6 +18,8 @@
     bool hedge = false;
     AttemptProgress progress;
     double tokensLeft = 0; ///< What this attempt still holds of the row's ownTokens.
+    double ratedTokens = 0; ///< Tokens up to the last measurement of the rate.
+    Instant ratedAt;
 };
 
 struct Work
