Take httplib's lock before the connection's own

Cause: the thread sanitizer reported a lock order inversion: httplib calls the socket options under its lock, and clean() asked httplib under ours. Change: clean() asks first. Conclusion: no known inversion is left.

--- a/src/endpoints/connectionpool.cpp
+++ b/src/endpoints/connectionpool.cpp
@@ -92,8 +92,10 @@
 
 bool Connection::clean()
 {
+    // Asked before taking the lock: httplib holds its own lock while it calls the socket options, which take this one.
+    const bool open = client_.is_socket_open() != 0;
     const std::lock_guard lock(mutex_);
-    if (interrupted_ || descriptor_ < 0 || client_.is_socket_open() == 0) {
+    if (!open || interrupted_ || descriptor_ < 0) {
         return false;
     }
     // Anything readable is either the end of the stream or bytes that belong to no request of ours. Surplus bytes that
