Do not count a pause of this process as silence of its peers

Cause: under the thread sanitizer one message of 1 MiB occupied the io thread for longer than the heartbeat limit of the test, and links were closed although their messages waited in the socket. A paused process would drop all its links. Change: a gap between two checks of the link table does not count as silence.

--- a/src/membership/addressanswer.cpp
+++ b/src/membership/addressanswer.cpp
@@ -4,6 +4,7 @@
 #include "membership/relays.h"
 
 #include <algorithm>
+#include <array>
 
 namespace currantlug::membership {
 
@@ -26,7 +27,8 @@
     return {self.zone, self.region};
 }
 
-int distance(const Member &member, const Place &place)
+// 0 own zone, 1 own region, 2 elsewhere.
+std::size_t distance(const Member &member, const Place &place)
 {
     if (member.zone == place.zone) {
         return 0;
--- a/src/mesh/linktable.cpp
+++ b/src/mesh/linktable.cpp
@@ -154,6 +154,7 @@
 
 DueActions LinkTable::due(Instant now)
 {
+    forgiveGap(now);
     DueActions actions;
     for (auto &[connection, link] : links_) {
         if (link.closing) {
@@ -187,6 +188,19 @@
     return result;
 }
 
+void LinkTable::forgiveGap(Instant now)
+{
+    const absl::Duration gap = lastDue_ ? now - *lastDue_ : absl::ZeroDuration();
+    lastDue_ = now;
+    if (gap <= settings_.heartbeat) {
+        return;
+    }
+    for (auto &[connection, link] : links_) {
+        link.openedAt = std::min(link.openedAt + gap, std::max(link.openedAt, now));
+        link.lastReceived = std::min(link.lastReceived + gap, now);
+    }
+}
+
 bool LinkTable::preferred(const Link &link) const
 {
     return link.stats.dialled == (settings_.self < link.stats.peer.id);
--- a/src/mesh/linktable.h
+++ b/src/mesh/linktable.h
@@ -79,6 +79,8 @@
     /// Why the last link or attempt ended; empty if none has.
     std::string lastError(const DaemonId &peer) const;
 
+    /// Call it at least once per heartbeat. After a longer gap this process itself did not run, and the gap does not
+    /// count as silence of its peers, whose messages may still wait to be read.
     DueActions due(Instant now);
     std::vector<LinkStats> stats() const;
 
@@ -92,6 +94,7 @@
         std::string lastError;
     };
 
+    void forgiveGap(Instant now);
     bool preferred(const Link &link) const;
     bool isSilent(const Link &link, Instant now) const;
     bool isPingDue(const Link &link, Instant now) const;
@@ -102,6 +105,7 @@
     std::mt19937_64 random_;
     std::map<ConnectionId, Link> links_;
     std::map<DaemonId, PeerState> peers_;
+    std::optional<Instant> lastDue_;
 };
 
 } // namespace currantlug::mesh
