Show the service-level-burn report through the admin interface

Cause: 'currantlug burn' printed an empty object. Change: CallStatistics feeds BurnReport; all sources formatted.

--- a/bench/capacity/main.cpp
+++ b/bench/capacity/main.cpp
@@ -217,8 +217,7 @@
         memory.points.emplace_back(slots, heapBytes() - before);
         const auto answer = step.pull("", 1, 64);
         cursor.points.emplace_back(slots, static_cast<double>(answer->cursor.size()));
-        pull.points.emplace_back(slots,
-                                 microsecondsPerCall([&] { step.pull("", 1, 64).status().IgnoreError(); }));
+        pull.points.emplace_back(slots, microsecondsPerCall([&] { step.pull("", 1, 64).status().IgnoreError(); }));
     }
     print(memory, "slots");
     print(cursor, "slots");
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -172,7 +172,7 @@
                  [] {
                      return Json{{"leases", Json::array()}};
                  },
-                 [] { return Json::object(); }, [this] { drain(); }})
+                 [this] { return statistics_.burn(); }, [this] { drain(); }})
 {
     connectParts();
     superviseParts();
--- a/src/requests/authorization.cpp
+++ b/src/requests/authorization.cpp
@@ -72,8 +72,7 @@
         return route->open || route->workspace == given.workspace;
     }
     const config::Key *key = state.findKey(given.key);
-    return key != nullptr && key->workspace == given.workspace
-        && (route->open || key->workspace == route->workspace);
+    return key != nullptr && key->workspace == given.workspace && (route->open || key->workspace == route->workspace);
 }
 
 } // namespace currantlug::requests
--- a/src/requests/authorization.h
+++ b/src/requests/authorization.h
@@ -11,7 +11,8 @@
 namespace currantlug::requests {
 
 /// Who a request runs for.
-struct Authorization {
+struct Authorization
+{
     WorkspaceId workspace; ///< The key's workspace; OpenWorkspace on an open route without a key.
     KeyId key; ///< Empty on an open route without a key.
     config::Route route;
--- a/src/server/adminapi.cpp
+++ b/src/server/adminapi.cpp
@@ -58,8 +58,9 @@
     if (result.winner) {
         body["winner"] = {{"number", result.winner->number}, {"author", result.winner->author}};
         body["touched_by_both"] = result.touchedByBoth;
-        body["error"] = {{"message", "ticket " + std::to_string(result.winner->number) + " was filed by "
-                                         + result.winner->author + " first"}};
+        body["error"] = {
+            {"message",
+             "ticket " + std::to_string(result.winner->number) + " was filed by " + result.winner->author + " first"}};
     }
     if (!result.error.ok()) {
         body["error"] = {{"message", std::string(result.error.message())},
@@ -94,7 +95,8 @@
     server.Get("/admin/in-force", guarded([this](const auto &req, auto &res) { showInForce(req, res); }));
     server.Get("/admin/daemons", guarded([this](const auto &, auto &res) { listDaemons(res); }));
     server.Get("/admin/endpoints", guarded([this](const auto &, auto &res) { listEndpoints(res); }));
-    server.Get("/admin/workspaces", guarded([this](const auto &, auto &res) { sendJson(res, services_.workspaces()); }));
+    server.Get("/admin/workspaces",
+               guarded([this](const auto &, auto &res) { sendJson(res, services_.workspaces()); }));
     server.Get("/admin/leases", guarded([this](const auto &, auto &res) { sendJson(res, services_.leases()); }));
     server.Get("/admin/burn", guarded([this](const auto &, auto &res) { sendJson(res, services_.burn()); }));
     server.Post("/admin/drain", guarded([this](const auto &, auto &res) {
@@ -113,8 +115,9 @@
     if (sameSecret(request.get_header_value("Authorization"), "Bearer " + services_.token)) {
         return true;
     }
-    sendError(response, makeError(absl::StatusCode::kUnauthenticated, Step::CheckKey, "", Outcome::NotRun,
-                                  "the admin token is missing or wrong"));
+    sendError(response,
+              makeError(absl::StatusCode::kUnauthenticated, Step::CheckKey, "", Outcome::NotRun,
+                        "the admin token is missing or wrong"));
     return false;
 }
 
@@ -222,9 +225,8 @@
                         {"suspected", members.suspects.contains(member.id)},
                         {"relay", std::find(relays.begin(), relays.end(), member.id) != relays.end()}});
     }
-    sendJson(response, {{"daemons", std::move(list)},
-                        {"version", members.list.version()},
-                        {"confirmed", members.confirmed}});
+    sendJson(response,
+             {{"daemons", std::move(list)}, {"version", members.list.version()}, {"confirmed", members.confirmed}});
 }
 
 void AdminApi::listEndpoints(httplib::Response &response)
@@ -266,9 +268,8 @@
     if (!change.ok()) {
         return sendError(response, change.status());
     }
-    sendJson(response, {{"removed", daemon.str()},
-                        {"version", change->list.version()},
-                        {"confirmed", change->confirmed}});
+    sendJson(response,
+             {{"removed", daemon.str()}, {"version", change->list.version()}, {"confirmed", change->confirmed}});
 }
 
 void AdminApi::health(httplib::Response &response)
--- a/src/server/adminapi.h
+++ b/src/server/adminapi.h
@@ -14,7 +14,8 @@
 namespace currantlug::server {
 
 /// All must outlive the listener.
-struct AdminServices {
+struct AdminServices
+{
     std::string token;
     services::ConfigService &config;
     services::MemberService &members;
--- a/src/server/callerapi.cpp
+++ b/src/server/callerapi.cpp
@@ -130,8 +130,9 @@
         return sendError(response, authorized.status());
     }
     if (authorized->authorization.route.kind != config::PoolKind::Engine) {
-        return sendError(response, makeError(absl::StatusCode::kNotFound, Step::CheckRoute, "", Outcome::NotRun,
-                                             "the route leads to a plain service"));
+        return sendError(response,
+                         makeError(absl::StatusCode::kNotFound, Step::CheckRoute, "", Outcome::NotRun,
+                                   "the route leads to a plain service"));
     }
     const Json body = parseJson(authorized->keyed.scrubbed.body).value_or(Json::object());
     absl::StatusOr<services::CompletionCall> call = readCompletion(body);
@@ -162,7 +163,8 @@
                                  requests::KeyRedactor redactor, httplib::Response &response)
 {
     /// Lives until the connection is done with the response.
-    struct Stream {
+    struct Stream
+    {
         services::CompletionCall call;
         std::shared_ptr<RequestGate::Pass> pass;
         requests::KeyRedactor redactor;
@@ -188,13 +190,13 @@
     const auto provide = [stream](std::size_t, httplib::DataSink &sink) {
         const std::string text = stream->channel.read();
         if (!text.empty()) {
-            const std::string data = event({{"id", stream->call.requestId}, {"choices", {{{"index", 0}, {"text", text}}}}});
+            const std::string data =
+                event({{"id", stream->call.requestId}, {"choices", {{{"index", 0}, {"text", text}}}}});
             return sink.write(data.data(), data.size());
         }
         const TextChannel::Result result = *stream->channel.result();
-        const std::string data = result.ok()
-            ? event(completionJson(stream->call, *result, false)) + "data: [DONE]\n\n"
-            : requests::errorEvent(result.status(), stream->redactor);
+        const std::string data = result.ok() ? event(completionJson(stream->call, *result, false)) + "data: [DONE]\n\n"
+                                             : requests::errorEvent(result.status(), stream->redactor);
         sink.write(data.data(), data.size());
         sink.done();
         return true;
@@ -235,13 +237,13 @@
         return sendError(response, authorized.status());
     }
     if (authorized->authorization.route.kind != config::PoolKind::Service) {
-        return sendError(response, makeError(absl::StatusCode::kNotFound, Step::CheckRoute, "", Outcome::NotRun,
-                                             "the route leads to a model engine"));
+        return sendError(response,
+                         makeError(absl::StatusCode::kNotFound, Step::CheckRoute, "", Outcome::NotRun,
+                                   "the route leads to a model engine"));
     }
     const Instant startedAt = monotonicNow();
     const absl::StatusOr<endpoints::ServiceAnswer> answer = runServiceCall(*authorized, route, request);
-    services_.onRecord(
-        {authorized->authorization.workspace, route, 0, monotonicNow() - startedAt, answer.ok()});
+    services_.onRecord({authorized->authorization.workspace, route, 0, monotonicNow() - startedAt, answer.ok()});
     if (!answer.ok()) {
         return sendError(response, answer.status(), authorized->keyed.redactor, &services_.members);
     }
@@ -257,9 +259,8 @@
     response.set_content(answer->body, contentType);
 }
 
-absl::StatusOr<endpoints::ServiceAnswer> CallerApi::runServiceCall(const AuthorizedRequest &authorized,
-                                                                   const RouteId &route,
-                                                                   const httplib::Request &request)
+absl::StatusOr<endpoints::ServiceAnswer>
+CallerApi::runServiceCall(const AuthorizedRequest &authorized, const RouteId &route, const httplib::Request &request)
 {
     const bool repeatable = authorized.authorization.route.repeatable;
     if (!repeatable && !request.has_header("Idempotency-Key")) {
@@ -307,7 +308,7 @@
         }
         const routing::FailureCause cause = services_.dispatch.isMoved(*attempt) ? routing::FailureCause::Moved
             : errorContext(answer.status()).outcome == Outcome::NotRun           ? routing::FailureCause::ConnectFailed
-                                                                                  : routing::FailureCause::Cut;
+                                                                                 : routing::FailureCause::Cut;
         if (services_.dispatch.failed(*attempt, cause) == services::FailedAttempt::GivenUp) {
             break;
         }
@@ -328,13 +329,11 @@
     }
     const std::optional<Json> body = parseJson(request.body);
     const RouteId route(body ? fieldOr<std::string>(*body, "route", "") : "");
-    const absl::StatusOr<AuthorizedRequest> authorized =
-        authorizeRequest(request, *services_.config.current(), route);
+    const absl::StatusOr<AuthorizedRequest> authorized = authorizeRequest(request, *services_.config.current(), route);
     if (!authorized.ok()) {
         return sendError(response, authorized.status());
     }
-    const absl::StatusOr<std::string> token =
-        services_.claims.issueToken(authorized->authorization.workspace, route);
+    const absl::StatusOr<std::string> token = services_.claims.issueToken(authorized->authorization.workspace, route);
     if (!token.ok()) {
         return sendError(response, token.status());
     }
--- a/src/server/callerapi.h
+++ b/src/server/callerapi.h
@@ -12,7 +12,8 @@
 namespace currantlug::server {
 
 /// All must outlive the listener.
-struct CallerServices {
+struct CallerServices
+{
     RequestGate &gate;
     services::ConfigService &config;
     services::MemberService &members;
--- a/src/server/requestcontext.cpp
+++ b/src/server/requestcontext.cpp
@@ -116,8 +116,8 @@
             text = "exception of an unknown type";
         }
         telemetry::log(telemetry::Level::Error, "server", "exception", {{"what", text}});
-        sendError(response, makeError(absl::StatusCode::kInternal, Step::ReadRequest, "", Outcome::MayHaveRun,
-                                      "internal error"));
+        sendError(response,
+                  makeError(absl::StatusCode::kInternal, Step::ReadRequest, "", Outcome::MayHaveRun, "internal error"));
     });
 }
 
--- a/src/server/requestcontext.h
+++ b/src/server/requestcontext.h
@@ -51,7 +51,8 @@
 };
 
 /// A request whose key has been taken out and whose right to its route was checked.
-struct AuthorizedRequest {
+struct AuthorizedRequest
+{
     requests::KeyedRequest keyed;
     requests::Authorization authorization;
 };
@@ -64,8 +65,8 @@
                                                    const RouteId &route);
 
 /// Answers with an error. `members` adds the addresses of other daemons where the request did not run here.
-void sendError(httplib::Response &response, const absl::Status &status,
-               const requests::KeyRedactor &redactor = {}, const services::MemberService *members = nullptr);
+void sendError(httplib::Response &response, const absl::Status &status, const requests::KeyRedactor &redactor = {},
+               const services::MemberService *members = nullptr);
 
 void sendJson(httplib::Response &response, const Json &body, int status = 200);
 
--- a/src/server/textchannel.cpp
+++ b/src/server/textchannel.cpp
@@ -16,8 +16,8 @@
 bool TextChannel::write(std::string_view text)
 {
     std::unique_lock lock(mutex_);
-    const bool room = changed_.wait_for(lock, SlowReaderLimit,
-                                        [this] { return abandoned_ || text_.size() < MaxBufferedBytes; });
+    const bool room =
+        changed_.wait_for(lock, SlowReaderLimit, [this] { return abandoned_ || text_.size() < MaxBufferedBytes; });
     if (abandoned_ || !room) {
         return false;
     }
--- a/src/server/trainerapi.cpp
+++ b/src/server/trainerapi.cpp
@@ -40,7 +40,8 @@
 
 bool broughtNothing(const Json &answer)
 {
-    return answer.contains("samples") && answer["samples"].empty() && fieldOr<std::uint64_t>(answer, "remaining", 0) > 0;
+    return answer.contains("samples") && answer["samples"].empty()
+        && fieldOr<std::uint64_t>(answer, "remaining", 0) > 0;
 }
 
 } // namespace
@@ -56,12 +57,13 @@
 void TrainerApi::registerHandlers()
 {
     services_.mesh.setHandler("forward", [this](const mesh::PeerInfo &, const Json &body) -> Json {
-        StepRequest request{fieldOr<std::string>(body, "action", ""), TrainerId(fieldOr<std::string>(body, "trainer", "")),
+        StepRequest request{fieldOr<std::string>(body, "action", ""),
+                            TrainerId(fieldOr<std::string>(body, "trainer", "")),
                             fieldOr<std::string>(body, "step", ""), body.value("body", Json::object())};
         const RequestGate::Pass pass(services_.gate);
-        const absl::StatusOr<StepAnswer> answer =
-            pass.refusal().ok() ? serveLocally(request, std::min(requestedWait(request.body), ForwardedWait))
-                                : absl::StatusOr<StepAnswer>(pass.refusal());
+        const absl::StatusOr<StepAnswer> answer = pass.refusal().ok()
+            ? serveLocally(request, std::min(requestedWait(request.body), ForwardedWait))
+            : absl::StatusOr<StepAnswer>(pass.refusal());
         if (answer.ok()) {
             return {{"status", answer->status}, {"body", answer->body}};
         }
@@ -80,8 +82,9 @@
     if (action != "delete") {
         const std::optional<Json> body = parseJson(request.body);
         if (!body || !body->is_object()) {
-            return sendError(response, makeError(absl::StatusCode::kInvalidArgument, Step::ReadRequest, "",
-                                                 Outcome::NotRun, "the body is not a JSON object"));
+            return sendError(response,
+                             makeError(absl::StatusCode::kInvalidArgument, Step::ReadRequest, "", Outcome::NotRun,
+                                       "the body is not a JSON object"));
         }
         stepRequest.body = *body;
     }
@@ -158,10 +161,8 @@
 
 absl::StatusOr<TrainerApi::StepAnswer> TrainerApi::forwardOnce(const DaemonId &owner, const StepRequest &request)
 {
-    const Json message{{"action", request.action},
-                       {"trainer", request.trainer.str()},
-                       {"step", request.step},
-                       {"body", request.body}};
+    const Json message{
+        {"action", request.action}, {"trainer", request.trainer.str()}, {"step", request.step}, {"body", request.body}};
     const absl::StatusOr<Json> answer = services_.mesh.call(owner, "forward", message, ForwardTimeout);
     if (!answer.ok()) {
         return answer.status();
@@ -197,10 +198,10 @@
         return makeError(absl::StatusCode::kInvalidArgument, Step::ReadRequest, "", Outcome::NotRun,
                          "trainer_version: expected an integer; staleness is judged by it");
     }
-    const absl::StatusOr<rollout::PullAnswer> answer = services_.steps.pullWaiting(
-        request.trainer, request.step, fieldOr<std::string>(request.body, "cursor", ""),
-        request.body["trainer_version"].get<std::uint64_t>(),
-        fieldOr<std::size_t>(request.body, "max_samples", DefaultMaxSamples), wait);
+    const absl::StatusOr<rollout::PullAnswer> answer =
+        services_.steps.pullWaiting(request.trainer, request.step, fieldOr<std::string>(request.body, "cursor", ""),
+                                    request.body["trainer_version"].get<std::uint64_t>(),
+                                    fieldOr<std::size_t>(request.body, "max_samples", DefaultMaxSamples), wait);
     if (!answer.ok()) {
         return answer.status();
     }
--- a/src/server/trainerapi.h
+++ b/src/server/trainerapi.h
@@ -12,7 +12,8 @@
 namespace currantlug::server {
 
 /// All must outlive the listener.
-struct TrainerServices {
+struct TrainerServices
+{
     RequestGate &gate;
     services::ConfigService &config;
     services::MemberService &members;
@@ -35,19 +36,22 @@
 
 private:
     /// One request on a step, with the key already checked and removed.
-    struct StepRequest {
+    struct StepRequest
+    {
         std::string action; ///< "put", "pull" or "delete".
         TrainerId trainer;
         std::string step;
         Json body;
     };
-    struct StepAnswer {
+    struct StepAnswer
+    {
         int status = 200;
         Json body;
     };
 
     /// The workspace whose key came with a request.
-    struct KeyedTrainer {
+    struct KeyedTrainer
+    {
         WorkspaceId workspace;
         requests::KeyRedactor redactor;
     };
--- a/src/services/callstatistics.cpp
+++ b/src/services/callstatistics.cpp
@@ -17,6 +17,16 @@
     ++totals.requests;
     totals.tokens += record.tokens;
     totals.failed += record.ok ? 0 : 1;
+    burn_.record(record.workspace, record.ok, record.latency, monotonicNow());
+}
+
+Json CallStatistics::burn() const
+{
+    const std::lock_guard lock(mutex_);
+    const Instant now = monotonicNow();
+    Json report = burn_.json(now);
+    report["text"] = burn_.table(now);
+    return report;
 }
 
 Json CallStatistics::workspaces(const config::ConfigState &state) const
--- a/src/services/callstatistics.h
+++ b/src/services/callstatistics.h
@@ -4,6 +4,7 @@
 
 #include "config/configstate.h"
 #include "core/json.h"
+#include "report/burnreport.h"
 #include "services/completionservice.h"
 #include "telemetry/metrics.h"
 
@@ -23,6 +24,9 @@
 
     void record(const CompletionRecord &record);
 
+    /// The service-level-burn report; "text" holds it as a table.
+    Json burn() const;
+
     /// {"workspaces":[{"name","weight","keys","routes","requests","tokens"}]}
     Json workspaces(const config::ConfigState &state) const;
 
@@ -37,6 +41,7 @@
     telemetry::MetricsRegistry &metrics_;
     mutable std::mutex mutex_;
     std::map<WorkspaceId, Totals> totals_;
+    report::BurnReport burn_;
 };
 
 } // namespace currantlug::services
--- a/standins/sampleaudit.cpp
+++ b/standins/sampleaudit.cpp
@@ -72,10 +72,10 @@
     for (const auto &[id, entries] : audit.at("requests").items()) {
         for (const Json &entry : entries) {
             attempts_[sampleOf(id)].push_back({.prompt = fieldOr<std::string>(entry, "prompt", ""),
-                                     .text = fieldOr<std::string>(entry, "text", ""),
-                                     .versions = tokenVersions(entry.value("segments", Json::array())),
-                                     .start = fieldOr<std::uint64_t>(entry, "start", 0),
-                                     .finished = fieldOr<bool>(entry, "finished", false)});
+                                               .text = fieldOr<std::string>(entry, "text", ""),
+                                               .versions = tokenVersions(entry.value("segments", Json::array())),
+                                               .start = fieldOr<std::uint64_t>(entry, "start", 0),
+                                               .finished = fieldOr<bool>(entry, "finished", false)});
         }
     }
 }
