Keep large writes within the call's deadline

Cause: the socket stream sent with a blocking send, so a large body to a peer that had stopped reading waited for cpp-httplib's socket timeout: a call with a deadline of 200 ms took 5.6 s. Signals could also end a read early. Tests of idle deadlines had no stream that goes silent in the middle.

Change: non-blocking sends and receives that wait in poll and repeat on EAGAIN and EINTR; a write returns only when all of it is in the kernel, because cpp-httplib takes a short count of a header for success. New engine fault "stall".

Conclusion: the call timeout holds for writes as well as for reads.

--- a/src/platform/socketstream.cpp
+++ b/src/platform/socketstream.cpp
@@ -21,6 +21,11 @@
     port = ntohs(address.sin_port);
 }
 
+bool isTransient(int error)
+{
+    return error == EAGAIN || error == EWOULDBLOCK || error == EINTR;
+}
+
 } // namespace
 
 SocketStream::SocketStream(int socket, Instant deadline, absl::Duration perOperation)
@@ -42,16 +47,16 @@
 
 ssize_t SocketStream::read(char *data, std::size_t size)
 {
-    if (!hasUnreadBytes()) {
+    while (!hasUnreadBytes()) {
         if (!waitFor(POLLIN, remaining())) {
             return -1;
         }
-        const ssize_t received = recv(socket_, buffer_.data(), buffer_.size(), 0);
-        if (received <= 0) {
+        const ssize_t received = recv(socket_, buffer_.data(), buffer_.size(), MSG_DONTWAIT);
+        if (received == 0 || (received < 0 && !isTransient(errno))) {
             return received;
         }
         begin_ = 0;
-        end_ = static_cast<std::size_t>(received);
+        end_ = static_cast<std::size_t>(std::max<ssize_t>(received, 0));
     }
     const std::size_t count = std::min(size, end_ - begin_);
     std::memcpy(data, buffer_.data() + begin_, count);
@@ -61,17 +66,21 @@
 
 ssize_t SocketStream::write(const char *data, std::size_t size)
 {
-    if (discardWrites_) {
-        return static_cast<ssize_t>(size);
-    }
-    if (!waitFor(POLLOUT, remaining())) {
-        return -1;
-    }
-    const ssize_t sent = send(socket_, data, size, MSG_NOSIGNAL);
-    if (sent > 0) {
-        bytesSent_ += static_cast<std::size_t>(sent);
+    // Writes all of it, because cpp-httplib takes a short count of a header for success. MSG_DONTWAIT, because a
+    // blocking send of a large body to a peer that stopped reading would outlast the deadline.
+    std::size_t written = discardWrites_ ? size : 0;
+    while (written < size) {
+        if (!waitFor(POLLOUT, remaining())) {
+            return -1;
+        }
+        const ssize_t sent = send(socket_, data + written, size - written, MSG_NOSIGNAL | MSG_DONTWAIT);
+        if (sent < 0 && !isTransient(errno)) {
+            return -1;
+        }
+        written += static_cast<std::size_t>(std::max<ssize_t>(sent, 0));
+        bytesSent_ += static_cast<std::size_t>(std::max<ssize_t>(sent, 0));
     }
-    return sent;
+    return static_cast<ssize_t>(size);
 }
 
 void SocketStream::get_remote_ip_and_port(std::string &ip, int &port) const
@@ -96,7 +105,7 @@
 {
     char byte = 0;
     const ssize_t peeked = recv(socket_, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return peeked == 0 || (peeked < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+    return peeked == 0 || (peeked < 0 && !isTransient(errno));
 }
 
 bool SocketStream::waitForInput(absl::Duration limit) const
--- a/standins/enginecompletions.cpp
+++ b/standins/enginecompletions.cpp
@@ -80,6 +80,10 @@
         changed.notify_all();
     });
     maybeSwapIds(attempt);
+    Fault fault;
+    if (server.faults().take(FaultKind::Stall, request.path, fault)) {
+        attempt->stall = fault.delay == absl::ZeroDuration() ? absl::InfiniteDuration() : fault.delay;
+    }
     response.set_chunked_content_provider(
         "text/event-stream",
         [this, attempt, place](std::size_t, httplib::DataSink &sink) { return produce(*attempt, sink); });
@@ -151,6 +155,9 @@
     {
         const std::lock_guard lock(mutex);
         perToken = settings.perToken;
+        if (attempt.produced() == (attempt.length - attempt.start) / 2) {
+            perToken += attempt.stall;
+        }
     }
     const bool interrupted = perToken > absl::ZeroDuration() && !server.pause(perToken);
     std::string event;
--- a/standins/enginestate.h
+++ b/standins/enginestate.h
@@ -20,7 +20,7 @@
     std::uint64_t tokens = 0;
 };
 
-/// One request to generate. Fields above `segments` do not change after admission.
+/// One request to generate. Fields above `received` do not change once tokens are produced.
 struct EngineAttempt
 {
     std::string id;
@@ -31,6 +31,7 @@
     std::uint64_t start = 0; ///< Tokens in resume_text.
     std::uint64_t length = 0; ///< Of the whole text, in tokens.
     std::uint64_t epoch = 0; ///< Crashes of the engine before this attempt.
+    absl::Duration stall = absl::ZeroDuration(); ///< Silence before the token at the middle.
     Json received; ///< headers, target and body
     std::vector<EngineSegment> segments;
     std::string text;
--- a/standins/faults.h
+++ b/standins/faults.h
@@ -21,6 +21,7 @@
     Lag, ///< Waits `delay` before the effect.
     SwapIds, ///< Engine only: two completions that start within `delay` carry each other's request id.
     FailSwap, ///< Engine only: a weight load answers 500 and keeps the old version.
+    Stall, ///< Engine only: a stream goes silent after half its tokens, for `delay` or until it is closed when zero.
     Crash, ///< Engine only: closes all connections without an end; refuses new ones for `delay`.
 };
 
@@ -57,13 +58,14 @@
 struct currantlug::EnumNames<currantlug::standins::FaultKind>
 {
     using FaultKind = currantlug::standins::FaultKind;
-    static constexpr std::array<std::pair<FaultKind, std::string_view>, 7> Table{{
+    static constexpr std::array<std::pair<FaultKind, std::string_view>, 8> Table{{
         {FaultKind::Fail, "fail"},
         {FaultKind::Hang, "hang"},
         {FaultKind::LoseAnswer, "lose_answer"},
         {FaultKind::Lag, "lag"},
         {FaultKind::SwapIds, "swap_ids"},
         {FaultKind::FailSwap, "fail_swap"},
+        {FaultKind::Stall, "stall"},
         {FaultKind::Crash, "crash"},
     }};
 };
--- a/tests/platform/storetest.cpp
+++ b/tests/platform/storetest.cpp
@@ -180,6 +180,17 @@
     }
 }
 
+TEST_CASE("a peer that stops reading does not hold a large write beyond its deadline", "[platform]")
+{
+    // A blocking send would wait for cpp-httplib's socket timeout of 5 s, longer than the deadline.
+    RawServer server("");
+    HttpObjectStore store({.port = server.port, .callTimeout = absl::Milliseconds(200)});
+    const Instant start = monotonicNow();
+    const auto result = store.putIf("a", CreateOnly, std::string(32 << 20, 'x'));
+    CHECK(errorContext(result.status()).outcome == Outcome::MayHaveRun);
+    CHECK(monotonicNow() - start < absl::Seconds(4));
+}
+
 TEST_CASE_METHOD(Fixture, "a watch ends with the first change, and with 410 when its revision is compacted",
                  "[platform]")
 {
--- a/tests/standins/enginetest.cpp
+++ b/tests/standins/enginetest.cpp
@@ -165,6 +165,17 @@
     CHECK(readStream(engine.complete(completionBody("r3", 2))->body).id == "r3");
 }
 
+TEST_CASE("a stalled stream goes silent in the middle and keeps its connection", "[standins]")
+{
+    Engine engine;
+    engine.addFault({.kind = FaultKind::Stall});
+    platform::HttpClient http = clientFor(engine.port(), absl::Milliseconds(100));
+    const Json body = completionBody("r1", 8);
+    CHECK_FALSE(http.call({.method = "POST", .target = "/v1/completions", .body = body.dump()}, Step::Send).ok());
+    CHECK(engine.produced("r1") == 4);
+    CHECK(eventually([&] { return engine.running() == 0; }));
+}
+
 TEST_CASE("a lost completion was produced, a failed one was not", "[standins]")
 {
     Engine engine;
