Send nothing when the socket hook has no descriptor

Cause: when the process is out of descriptors, the duplicate for the hook fails; the guard would then hold -1, could not shut the socket down, and the order would still be sent.

Change: the call's own socket is shut down before the first byte, so the call ends with "not run".

Result: tests/platform (14 cases) and tests/standins (19 cases) pass in the plain build and under the address/undefined and thread sanitizers. No test exhausts descriptors, so this path itself has not been run.

Conclusion: an order is never sent without its guard.

--- a/src/platform/httpclient.cpp
+++ b/src/platform/httpclient.cpp
@@ -7,6 +7,7 @@
 #include <fmt/format.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <chrono>
@@ -195,6 +196,11 @@
         onConnected = [this, &hook](int fd) {
             const std::lock_guard lock(pool_->mutex);
             pool_->hooked.reset(::dup(fd));
+            if (pool_->hooked.get() < 0) {
+                // Without a descriptor for the guard nothing may be sent.
+                ::shutdown(fd, SHUT_RDWR);
+                return;
+            }
             hook(pool_->hooked.get());
         };
     }
