--- a/tests/fleet/plannertest.cpp
+++ b/tests/fleet/plannertest.cpp
@@ -63,7 +63,7 @@
 {
     PoolDemand pool = demand(600);
     pool.repeatableShare = 0;
-    CHECK(totals(ReplicaPlanner().plan(pool, at(0))) == std::pair(8U, 0U));
+    CHECK(totals(ReplicaPlanner({.targetUse = 0.75}).plan(pool, at(0))) == std::pair(8U, 0U));
 }
 
 TEST_CASE("a plan stays within minimum, maximum and spend", "[fleet]")
@@ -81,7 +81,7 @@
 TEST_CASE("a step deadline raises the plan, and a short lull does not lower it", "[fleet]")
 {
     // Guards against replicas stopped between two steps and missing from the next one.
-    ReplicaPlanner planner;
+    ReplicaPlanner planner({.targetUse = 0.75});
     PoolDemand pool = demand(100);
     pool.outstandingTokens = 45000;
     pool.untilDeadline = absl::Seconds(60);
@@ -92,6 +92,27 @@
     CHECK(sum(planner.plan(pool, at(181))) == 2);
 }
 
+TEST_CASE("nothing is retired while replacements start", "[fleet]")
+{
+    // Guards against a dip in capacity whenever the mix of lasting and cheap replicas changes.
+    PoolDemand pool = demand(300);
+    pool.zones[0].lasting = 9;
+    pool.zones[1].starting = 1;
+    CHECK(ReplicaPlanner().plan(pool, at(0))[0].lasting == 9);
+    pool.zones[1].starting = 0;
+    CHECK(ReplicaPlanner().plan(pool, at(0))[0].lasting < 9);
+}
+
+TEST_CASE("work that cannot be repeated keeps two lasting replicas in different zones", "[fleet]")
+{
+    // Guards against losing every such call while the only lasting replica restarts.
+    PoolDemand pool = demand(100);
+    pool.repeatableShare = 0.9;
+    const auto plans = ReplicaPlanner().plan(pool, at(0));
+    CHECK(plans[0].lasting == 1);
+    CHECK(plans[1].lasting == 1);
+}
+
 TEST_CASE("a zone without cheap offers gets none", "[fleet]")
 {
     PoolDemand pool = demand(600);
