--- a/src/fleet/replicaplanner.h
+++ b/src/fleet/replicaplanner.h
@@ -52,7 +52,7 @@
 struct ReplicaPlannerSettings
 {
     double targetUse = 0.65; ///< Planned load of the replicas; the rest absorbs bursts and single failures.
-    double lastingShare = 0.25; ///< Of the needed replicas, at least this share is lasting: all cheap ones can vanish.
+    double lastingShare = 0.2; ///< Of the needed replicas, at least this share is lasting: all cheap ones can vanish.
     absl::Duration scaleDownAfter = absl::Minutes(3); ///< Fewer replicas only when none more were wanted this long.
     bool cheap = true; ///< Switch: off orders lasting replicas only.
 };
