Hedge stragglers and send unrepeatable calls on fresh connections

Cause: one stuck engine holds up a whole step, and a service that closes an idle connection just as a call is sent leaves the outcome of a call that may not be repeated open. Change: the runner can start second attempts at stragglers (off unless maxHedges is set); tasks carry a seed per slot, so that a hedge does not prefer short samples where engines are deterministic. ServiceRequest has freshConnection.

--- a/src/endpoints/connectionpool.cpp
+++ b/src/endpoints/connectionpool.cpp
@@ -173,11 +173,11 @@
     }
 }
 
-absl::StatusOr<std::unique_ptr<Connection>> ConnectionPool::take(std::string_view address)
+absl::StatusOr<std::unique_ptr<Connection>> ConnectionPool::take(std::string_view address, bool reuse)
 {
     std::vector<std::unique_ptr<Connection>> doubtful; // closed outside the lock
     const Instant now = monotonicNow();
-    {
+    if (reuse) {
         const std::lock_guard lock(mutex_);
         const auto found = idle_.find(address);
         while (found != idle_.end() && !found->second.empty()) {
--- a/src/endpoints/connectionpool.h
+++ b/src/endpoints/connectionpool.h
@@ -98,9 +98,9 @@
         std::atomic<std::int64_t> last_{0}; ///< Nanoseconds on the monotonic clock; 0 before the first mark.
     };
 
-    /// Takes an idle clean connection to "host:port", or a new one that connects when it sends. Errors:
-    /// kInvalidArgument for an address that cannot be read.
-    absl::StatusOr<std::unique_ptr<Connection>> take(std::string_view address);
+    /// Takes an idle clean connection to "host:port", where `reuse` allows it, or a new one that connects when it
+    /// sends. Errors: kInvalidArgument for an address that cannot be read.
+    absl::StatusOr<std::unique_ptr<Connection>> take(std::string_view address, bool reuse = true);
 
     /// Sends the request and reads the answer through the request's receivers.
     Exchange run(Connection &connection, httplib::Request &request, httplib::Response &response,
--- a/src/endpoints/serviceclient.cpp
+++ b/src/endpoints/serviceclient.cpp
@@ -98,7 +98,7 @@
     if (const std::string_view reason = problem(request, settings_.maxRequestBytes); !reason.empty()) {
         return fail(absl::StatusCode::kInvalidArgument, Step::Send, Outcome::NotRun, reason);
     }
-    auto connection = pool_.take(request.address);
+    auto connection = pool_.take(request.address, !request.freshConnection);
     if (!connection.ok()) {
         return connection.status();
     }
--- a/src/endpoints/serviceclient.h
+++ b/src/endpoints/serviceclient.h
@@ -23,6 +23,9 @@
     std::string body;
     std::string requestId; ///< Sent as X-Request-Id.
     CallDeadlines deadlines;
+    /// For calls that may not be repeated: a service can close a kept connection just as the request is sent, which
+    /// would leave the outcome open.
+    bool freshConnection = false;
 };
 
 struct ServiceAnswer
--- a/src/rollout/samplerunner.h
+++ b/src/rollout/samplerunner.h
@@ -34,6 +34,7 @@
 struct SampleRunnerSettings
 {
     std::size_t maxRunning = 256; ///< Slots generated at once, one thread each.
+    std::size_t maxHedges = 0; ///< Second attempts at stragglers at once, within maxRunning; 0 for none.
     absl::Duration sweepInterval = absl::Milliseconds(200); ///< Between checks for work that is no longer wanted.
 };
 
@@ -43,6 +44,7 @@
     std::uint64_t finished = 0;
     std::uint64_t failed = 0;
     std::uint64_t cancelled = 0;
+    std::uint64_t hedges = 0; ///< Of those started.
 };
 
 /// Driver of StepBook. The book and the generator must outlive it. start() and stop() are called from one thread.
@@ -84,6 +86,7 @@
 
     void dispatch();
     void enqueue(std::vector<SlotTask> tasks);
+    std::size_t runningHedges() const;
     void sweep();
     void work();
     void report(Job &job, absl::StatusOr<Sample> result);
@@ -150,7 +153,12 @@
         }
         const Instant now = monotonicNow();
         if (free > 0) {
-            enqueue(book_.startSlots(free, now));
+            std::vector<SlotTask> tasks = book_.startSlots(free, now);
+            const std::size_t hedges = std::min(free - tasks.size(), settings_.maxHedges - runningHedges());
+            enqueue(std::move(tasks));
+            if (hedges > 0) {
+                enqueue(book_.startHedges(hedges, now));
+            }
         }
         sweep();
         absl::Duration wait = settings_.sweepInterval;
@@ -167,11 +175,12 @@
 {
     const std::lock_guard lock(mutex_);
     for (SlotTask &task : tasks) {
+        ++counts_.started;
+        counts_.hedges += task.hedge ? 1 : 0;
         auto job = std::make_shared<Job>();
         job->task = std::move(task);
         queue_.push_back(std::move(job));
     }
-    counts_.started += tasks.size();
     // A thread start can lag behind, so workers are counted from their creation on.
     while (workers_.size() < std::min(settings_.maxRunning, running_.size() + queue_.size())) {
         workers_.emplace_back([this] { work(); });
@@ -179,6 +188,15 @@
     jobReady_.notify_all();
 }
 
+template<SampleGenerator Generator>
+std::size_t SampleRunner<Generator>::runningHedges() const
+{
+    const std::lock_guard lock(mutex_);
+    const auto isHedge = [](const auto &job) { return job->task.hedge; };
+    return static_cast<std::size_t>(std::count_if(running_.begin(), running_.end(), isHedge)
+                                    + std::count_if(queue_.begin(), queue_.end(), isHedge));
+}
+
 // Cancels work whose step is gone or whose slot the trainer has got otherwise.
 template<SampleGenerator Generator>
 void SampleRunner<Generator>::sweep()
--- a/src/rollout/step.cpp
+++ b/src/rollout/step.cpp
@@ -328,7 +328,8 @@
     const absl::Duration limit = *middle * settings_.stragglerFactor;
     std::vector<SlotNumber> late;
     for (SlotNumber slot = 0; slot < slots_.size(); ++slot) {
-        if (slots_[slot].state == SlotState::Running && now - slots_[slot].since > limit) {
+        if (slots_[slot].state == SlotState::Running && slots_[slot].attempts == 1
+            && now - slots_[slot].since > limit) {
             late.push_back(slot);
         }
     }
--- a/src/rollout/step.h
+++ b/src/rollout/step.h
@@ -114,7 +114,7 @@
     absl::StatusOr<PullAnswer> pull(std::string_view cursor, WeightVersion trainerVersion, std::size_t maxSamples);
 
     /// Running slots that have taken much longer than the median of the finished ones, longest first, and only while no
-    /// slot waits. Empty until a quarter of the slots or eight have finished.
+    /// slot waits and for slots with a single attempt. Empty until a quarter of the slots or eight have finished.
     std::vector<SlotNumber> stragglers(Instant now) const;
 
     std::uint32_t count(SlotState state) const;
--- a/src/rollout/stepbook.cpp
+++ b/src/rollout/stepbook.cpp
@@ -2,6 +2,7 @@
 #include "rollout/stepbook.h"
 
 #include "core/error.h"
+#include "core/hash.h"
 
 #include <algorithm>
 #include <chrono>
@@ -34,6 +35,7 @@
     task.stalenessBound = definition.stalenessBound;
     task.trainerVersion = step.trainerVersion();
     task.deadline = step.deadline();
+    task.seed = stableHash(definition.digest, slot);
     task.lastOfGroup = step.missingInGroupOf(slot) == 1;
     return task;
 }
@@ -187,6 +189,24 @@
     return tasks;
 }
 
+std::vector<SlotTask> StepBook::startHedges(std::size_t limit, Instant now)
+{
+    const std::lock_guard lock(mutex_);
+    std::vector<SlotTask> tasks;
+    for (const auto &[name, id] : names_) {
+        Step &step = steps_.find(id)->step;
+        for (const SlotNumber slot : step.stragglers(now)) {
+            if (tasks.size() == limit) {
+                return tasks;
+            }
+            tasks.push_back(makeTask(step, {id.index, id.generation}, slot));
+            tasks.back().hedge = true;
+            step.slotStarted(slot, now);
+        }
+    }
+    return tasks;
+}
+
 std::optional<Instant> StepBook::nextReady() const
 {
     const std::lock_guard lock(mutex_);
--- a/src/rollout/stepbook.h
+++ b/src/rollout/stepbook.h
@@ -36,6 +36,10 @@
     std::uint64_t stalenessBound = 0;
     WeightVersion trainerVersion = 0;
     Instant deadline;
+    /// The same for all attempts at the slot, so that a hedge does not prefer short samples where engines are
+    /// deterministic, and different within a group.
+    std::uint64_t seed = 0;
+    bool hedge = false; ///< A second attempt at a slot whose first one takes long.
     bool lastOfGroup = false; ///< At most one slot of the group is missing, so the work goes first.
     PartialAnswer partial;
 };
@@ -81,6 +85,9 @@
     /// memory is used up; pulls free it.
     std::vector<SlotTask> startSlots(std::size_t limit, Instant now);
 
+    /// Starts second attempts for up to `limit` stragglers.
+    std::vector<SlotTask> startHedges(std::size_t limit, Instant now);
+
     /// When a waiting slot next leaves its backoff; nullopt where none waits.
     std::optional<Instant> nextReady() const;
 
--- a/tests/endpoints/clienttest.cpp
+++ b/tests/endpoints/clienttest.cpp
@@ -245,6 +245,21 @@
     CHECK(seen.find("Accept")->second == "text/plain");
     CHECK(seen.find("Cookie") == seen.end());
 
+    // A call that may not be repeated leaves kept connections alone.
+    std::set<std::string> ports;
+    fakes::LocalServer echo([&ports](httplib::Server &http) {
+        http.Get("/", [&ports](const httplib::Request &request, httplib::Response &response) {
+            ports.insert(std::to_string(request.remote_port));
+            response.set_header("X-Request-Id", "r1");
+        });
+    });
+    ServiceRequest fresh{echo.address(), "GET", "/", {}, "", "r1", {}};
+    CHECK(client.call(fresh).ok());
+    fresh.freshConnection = true;
+    CHECK(client.call(fresh).ok());
+    CHECK(ports.size() == 2);
+    pool.closeIdle(echo.address());
+
     fakes::RawServer endless("HTTP/1.1 200 OK\r\n\r\nhalf", true);
     CHECK_FALSE(client.call({endless.address(), "GET", "/", {}, "", "r1", {}}).ok());
     for (const char *path : {"/a b", "/a\r\nX: y", "a"}) {
