Count field names and segments in the size of a pull's answer

Cause: many short samples stayed under the bound by their text alone and could exceed a mesh message of 1 MiB. Change: the size of a sample in an answer covers its id, segments and field names. Conclusion: a forwarded answer fits a message unless escapes double its text.

--- a/src/rollout/step.cpp
+++ b/src/rollout/step.cpp
@@ -22,6 +22,14 @@
     return sizeof(Sample) + sample.text.size() + sample.segments.size() * sizeof(Segment);
 }
 
+// Size in the JSON of an answer, escapes not counted.
+std::size_t answerBytes(const Sample &sample)
+{
+    constexpr std::size_t FieldNames = 160;
+    constexpr std::size_t SegmentFields = 48;
+    return FieldNames + sample.text.size() + sample.sampleId.size() + sample.segments.size() * SegmentFields;
+}
+
 std::size_t bytesOf(const PartialAnswer &partial)
 {
     return partial.text.size() + partial.segments.size() * sizeof(Segment);
@@ -300,7 +308,7 @@
     answer.droppedStale = dropStale(trainerVersion);
     std::size_t bytes = 0;
     for (const SlotNumber slot : deliveryOrder()) {
-        bytes += slots_[slot].sample->text.size();
+        bytes += answerBytes(*slots_[slot].sample);
         const bool full = answer.samples.size() >= maxSamples || bytes > settings_.maxAnswerBytes;
         if (full && !(answer.samples.empty() && maxSamples > 0)) {
             break;
--- a/src/rollout/step.h
+++ b/src/rollout/step.h
@@ -55,7 +55,7 @@
     double stragglerFactor = 2.0; ///< A slot running this many times the median is a straggler.
     std::size_t keptDurations = 64; ///< For the median.
     std::uint32_t fruitlessResumes = 3; ///< Failures without progress after which partial work is given up.
-    std::size_t maxAnswerBytes = 512 << 10; ///< Text of one pull's samples; fits a mesh message with JSON escapes.
+    std::size_t maxAnswerBytes = 512 << 10; ///< Of one pull's answer; fits a mesh message with JSON escapes.
 };
 
 struct DeliveredSample
