--- a/src/rollout/step.h
+++ b/src/rollout/step.h
@@ -55,7 +55,7 @@
     double stragglerFactor = 2.0; ///< A slot running this many times the median is a straggler.
     std::size_t keptDurations = 64; ///< For the median.
     std::uint32_t fruitlessResumes = 3; ///< Failures without progress after which partial work is given up.
-    std::size_t maxAnswerBytes = 512 << 10; ///< Text of one pull's samples; fits a mesh message with JSON escapes.
+    std::size_t maxAnswerBytes = 512 << 10; ///< Of one pull's answer; fits a mesh message with JSON escapes.
 };
 
 struct DeliveredSample
@@ -114,7 +114,7 @@
     absl::StatusOr<PullAnswer> pull(std::string_view cursor, WeightVersion trainerVersion, std::size_t maxSamples);
 
     /// Running slots that have taken much longer than the median of the finished ones, longest first, and only while no
-    /// slot waits. Empty until a quarter of the slots or eight have finished.
+    /// slot waits and for slots with a single attempt. Empty until a quarter of the slots or eight have finished.
     std::vector<SlotNumber> stragglers(Instant now) const;
 
     std::uint32_t count(SlotState state) const;
