--- a/src/config/freshness.cpp
+++ b/src/config/freshness.cpp
@@ -42,6 +42,9 @@
 {
     head_ = std::max(head_, head);
     highestHeadHeard_ = std::max(highestHeadHeard_, head_);
+    if (head_ == highestHeadHeard_) {
+        behindSince_.reset();
+    }
     if (pending_ && pending_->head <= head_) {
         acceptConfirmation(pending_->asOf);
         pending_.reset();
@@ -49,8 +52,12 @@
     synchroniseFromAnswers(now);
 }
 
-void FreshnessTracker::confirm(std::uint64_t head, Instant asOf)
+void FreshnessTracker::confirm(std::uint64_t head, Instant asOf, Instant now)
 {
+    // Only a daemon that may serve gets time to fetch: one that comes back from isolation may be far behind.
+    if (head > head_ && !behindSince_ && decide(now) != Serving::Isolated) {
+        behindSince_ = now;
+    }
     highestHeadHeard_ = std::max(highestHeadHeard_, head);
     if (head <= head_) {
         acceptConfirmation(asOf);
@@ -59,28 +66,10 @@
     }
 }
 
-void FreshnessTracker::storeAnswered(Instant sentAt, Instant now)
-{
-    // With a store this slow no daemon stays fresh, so it must count as unreachable or all daemons would stop.
-    if (now - sentAt > settings_.slowAnswer) {
-        storeFailed(sentAt, now);
-        return;
-    }
-    storeFailingSince_.reset();
-}
-
-void FreshnessTracker::storeFailed(Instant sentAt, Instant now)
-{
-    if (!storeFailingSince_) {
-        storeFailingSince_ = sentAt;
-    }
-    lastStoreFailure_ = now;
-}
-
 void FreshnessTracker::recordAnswer(const DaemonId &member, const Attestation &answer, Instant sentAt, Instant now)
 {
     highestMembersHeard_ = std::max(highestMembersHeard_, answer.membersVersion);
-    confirm(answer.head, sentAt - std::max(answer.age, absl::ZeroDuration()));
+    confirm(answer.head, sentAt - std::max(answer.age, absl::ZeroDuration()), now);
     Answer &kept = answers_[member];
     if (kept.sentAt <= sentAt) {
         kept = {answer, sentAt};
@@ -94,8 +83,9 @@
         return Serving::Fresh;
     }
     const Instant notBefore = now - settings_.attestationAge;
-    const bool countSelf = isMember() && storeUnreachable(now);
-    if (synchronised_ && hasMajority(notBefore, countSelf) && holdsAllHeard(notBefore)) {
+    const bool fetching = behindSince_ && now - *behindSince_ <= settings_.fetchTime;
+    const bool holdsAll = (holdsHeads(notBefore) || fetching) && holdsMemberList(notBefore);
+    if (synchronised_ && holdsAll && hasMajority(notBefore, isMember())) {
         return Serving::OutageMode;
     }
     return Serving::Isolated;
@@ -103,7 +93,7 @@
 
 Attestation FreshnessTracker::ownAttestation(Instant now) const
 {
-    return {.attested = synchronised_ && isMember() && storeUnreachable(now),
+    return {.attested = synchronised_ && isMember(),
             .synced = synchronised_,
             .head = head_,
             .age = age(now),
@@ -125,12 +115,6 @@
     return contains(members_.previousMembers.empty() ? members_.members : members_.previousMembers, self_);
 }
 
-bool FreshnessTracker::storeUnreachable(Instant now) const
-{
-    return storeFailingSince_ && now - *storeFailingSince_ >= settings_.storeSilence
-        && now - lastStoreFailure_ <= settings_.storeFailureAge;
-}
-
 // True if more than half of the members attested in answers to requests sent at notBefore or later.
 bool FreshnessTracker::hasMajority(Instant notBefore, bool countSelf) const
 {
@@ -149,12 +133,17 @@
     return majority(members_.members) && (members_.previousMembers.empty() || majority(members_.previousMembers));
 }
 
-bool FreshnessTracker::holdsAllHeard(Instant notBefore) const
+bool FreshnessTracker::holdsHeads(Instant notBefore) const
+{
+    return std::all_of(answers_.begin(), answers_.end(), [&](const auto &entry) {
+        return entry.second.sentAt < notBefore || entry.second.attestation.head <= head_;
+    });
+}
+
+bool FreshnessTracker::holdsMemberList(Instant notBefore) const
 {
     return std::all_of(answers_.begin(), answers_.end(), [&](const auto &entry) {
-        const Answer &answer = entry.second;
-        return answer.sentAt < notBefore
-            || (answer.attestation.head <= head_ && answer.attestation.membersVersion <= members_.version);
+        return entry.second.sentAt < notBefore || entry.second.attestation.membersVersion <= members_.version;
     });
 }
 
@@ -169,7 +158,7 @@
 void FreshnessTracker::synchroniseFromAnswers(Instant now)
 {
     const Instant notBefore = std::max(synchroniseFrom_ + settings_.restartWait, now - settings_.attestationAge);
-    if (!synchronised_ && hasMajority(notBefore, false) && holdsAllHeard(notBefore)) {
+    if (!synchronised_ && hasMajority(notBefore, false) && holdsHeads(notBefore) && holdsMemberList(notBefore)) {
         synchronised_ = true;
     }
 }
--- a/src/config/freshness.h
+++ b/src/config/freshness.h
@@ -16,7 +16,7 @@
 
 enum class Serving {
     Fresh, ///< The head was confirmed within the freshness bound.
-    OutageMode, ///< More than half of the members attest that the store is unreachable.
+    OutageMode, ///< More than half of the members were asked just now, and none holds a newer head.
     Isolated, ///< Neither: callers are rejected.
 };
 
@@ -24,10 +24,7 @@
 {
     absl::Duration freshnessBound = absl::Seconds(6);
     absl::Duration attestationAge = absl::Seconds(2); ///< Counted from when the request for it was sent.
-    absl::Duration storeSilence = absl::Seconds(2); ///< A member attests after the store failed for this long.
-    /// A failure older than this proves nothing any more: one read per 2 s, 2 s of waiting for its answer, and 1 s.
-    absl::Duration storeFailureAge = absl::Seconds(5);
-    absl::Duration slowAnswer = absl::Seconds(3); ///< A slower store answer counts as a failure: 1 s poll wait and 2 s.
+    absl::Duration fetchTime = absl::Seconds(1); ///< A serving daemon fetches a head it hears of within this time.
     /// A filer counts acknowledgements for 5 s. A daemon that acknowledged a ticket and restarted could otherwise
     /// synchronise from a majority that does not hold the ticket yet, and attest without it while its lost
     /// acknowledgement still counts. The extra second allows for clocks that run at different rates.
@@ -35,10 +32,12 @@
     bool requireMajority = true; ///< Off only in tests, to show that they notice.
 };
 
-/// Reply to attest{} (design 5.5).
+/// Reply to attest{} (design 5.5). Whether the member reaches the store plays no part: the safety of outage mode
+/// follows from the heads of a majority alone, and with a condition on the store every outage began with seconds in
+/// which no daemon served, until enough members had noticed it. A member that is fresh says so by its age.
 struct Attestation
 {
-    bool attested = false; ///< The store has been unreachable for the member for storeSilence, and it is synchronised.
+    bool attested = false; ///< The member is synchronised and in the list in effect, so its head counts.
     bool synced = false;
     std::uint64_t head = 0;
     absl::Duration age = absl::InfiniteDuration(); ///< Bound on the age of the member's last confirmation.
@@ -76,11 +75,7 @@
 
     /// No ticket above `head` existed at `asOf`: for a store call, the instant before it was sent; for an answer of a
     /// relay, the instant before the pull was sent minus the age in the answer.
-    void confirm(std::uint64_t head, Instant asOf);
-
-    /// Outcome of a store call of any kind, for the attestations of this daemon. A failure counts from sending.
-    void storeAnswered(Instant sentAt, Instant now);
-    void storeFailed(Instant sentAt, Instant now);
+    void confirm(std::uint64_t head, Instant asOf, Instant now);
 
     /// A member's reply to an attest{} that was sent at `sentAt`. The age counts from sending, because a reply may have
     /// waited in a socket buffer while this process was paused.
@@ -91,10 +86,6 @@
     /// What this daemon replies to attest{}.
     Attestation ownAttestation(Instant now) const;
 
-    /// True when the daemon should read the head from the store itself. Early enough that it can attest when its
-    /// configuration passes the freshness bound: without the attestations of most daemons there is no outage mode.
-    bool wantsStoreRead(Instant now) const { return age(now) > settings_.attestationAge; }
-
     /// True when attest{} should be sent. Starts before the freshness bound, so that an outage does not begin with a
     /// gap in service.
     bool wantsAttestations(Instant now) const;
@@ -123,9 +114,9 @@
     };
 
     bool isMember() const;
-    bool storeUnreachable(Instant now) const;
     bool hasMajority(Instant notBefore, bool countSelf) const;
-    bool holdsAllHeard(Instant notBefore) const;
+    bool holdsHeads(Instant notBefore) const;
+    bool holdsMemberList(Instant notBefore) const;
     void acceptConfirmation(Instant asOf);
     void synchroniseFromAnswers(Instant now);
 
@@ -139,8 +130,7 @@
     std::optional<Instant> confirmedAt_; ///< No ticket above head_ existed at this instant.
     std::optional<Confirmation> pending_; ///< Newest confirmation of a head above head_.
     absl::flat_hash_map<DaemonId, Answer> answers_; ///< Last answer of each member.
-    std::optional<Instant> storeFailingSince_; ///< When the first call after the last answered one was sent.
-    Instant lastStoreFailure_; ///< Valid if storeFailingSince_ is set.
+    std::optional<Instant> behindSince_; ///< When a head above head_ was first heard of while serving.
     std::uint64_t highestHeadHeard_ = 0;
     std::uint64_t highestMembersHeard_ = 0;
 };
