Take over member lists only together with the head; raise the listen backlog

Change: lists from the store are offered and used after the next read of the head; pushes carry the pusher's head.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -77,7 +77,6 @@
     services::ConfigServiceSettings result;
     result.freshness.freshnessBound = tunables.freshnessBound;
     result.freshness.attestationAge = tunables.attestKeep;
-    result.freshness.storeSilence = tunables.attestKeep;
     result.pullInterval = tunables.configPullInterval;
     result.attestInterval = tunables.attestInterval;
     result.filer.pushWindow = tunables.confirmWait;
@@ -195,6 +194,8 @@
     server::installErrorHandlers(callerListener_.routes());
     server::installErrorHandlers(adminListener_.routes());
 
+    members_.setHeads([this] { return config_.current()->number(); },
+                      [this](const DaemonId &from, std::uint64_t head) { return config_.catchUp(from, head); });
     members_.setOnList([this](const services::MemberSnapshot &members) {
         config_.applyMembers(members);
         const auto live = static_cast<std::uint32_t>(members.list.members().size() - members.suspects.size());
--- a/src/server/httplistener.cpp
+++ b/src/server/httplistener.cpp
@@ -14,8 +14,16 @@
 constexpr std::size_t MaxRequestsPerConnection = 10000;
 constexpr int KeepAliveSeconds = 5;
 
+// The packaged library listens with a backlog of 5, which a burst of reconnecting callers overflows.
+constexpr int ListenBacklog = 512;
+
 } // namespace
 
+void HttpListener::Server::raiseBacklog()
+{
+    ::listen(svr_sock_, ListenBacklog);
+}
+
 HttpListener::HttpListener(HttpListenerSettings settings)
     : settings_(std::move(settings))
 {
@@ -27,6 +35,11 @@
     server_.set_read_timeout(settings_.readTimeoutSeconds);
     server_.set_write_timeout(settings_.writeTimeoutSeconds);
     server_.set_tcp_nodelay(true);
+    // SO_REUSEADDR only: cpp-httplib's default, SO_REUSEPORT, lets two daemons share a port without an error.
+    server_.set_socket_options([](socket_t socket) {
+        const int on = 1;
+        setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    });
 }
 
 HttpListener::~HttpListener()
@@ -46,6 +59,7 @@
                          settings_.address + ":" + std::to_string(settings_.port), Outcome::NotRun,
                          "cannot listen on this address");
     }
+    server_.raiseBacklog();
     thread_ = std::thread([this] { server_.listen_after_bind(); });
     // This version of the library has no call that waits for the accept loop; stop() needs the loop to be running.
     while (!server_.is_running()) {
--- a/src/server/httplistener.h
+++ b/src/server/httplistener.h
@@ -39,8 +39,15 @@
     bool running() const { return server_.is_running(); }
 
 private:
+    /// Reaches the listening socket, which the library keeps to itself.
+    class Server : public httplib::Server
+    {
+    public:
+        void raiseBacklog();
+    };
+
     HttpListenerSettings settings_;
-    httplib::Server server_;
+    Server server_;
     std::thread thread_;
     int port_ = 0;
 };
--- a/src/server/requestcontext.cpp
+++ b/src/server/requestcontext.cpp
@@ -106,7 +106,8 @@
         sendError(response, makeError(code, Step::ReadRequest, "", Outcome::NotRun, message));
         response.status = status;
     });
-    server.set_exception_handler([](const httplib::Request &, httplib::Response &response, std::exception_ptr error) {
+    server.set_exception_handler([](const httplib::Request &, httplib::Response &response,
+                                    const std::exception_ptr &error) {
         std::string text = "unknown exception";
         try {
             std::rethrow_exception(error);
--- a/src/services/configservice.cpp
+++ b/src/services/configservice.cpp
@@ -58,7 +58,7 @@
     , mesh_(mesh)
     , members_(members)
     , store_(store)
-    , settings_(std::move(settings))
+    , settings_(settings)
     , reader_(store)
     , freshness_(self_, settings_.freshness, monotonicNow())
 {
@@ -113,10 +113,10 @@
 void ConfigService::runReader()
 {
     for (;;) {
-        bool wantsStore = members_.isRelay();
+        bool wantsStore = members_.isRelay() || members_.offered();
         {
             const std::lock_guard lock(mutex_);
-            // A daemon whose pulls bring nothing fresh tries the store itself, also to learn whether to attest.
+            // A daemon whose pulls bring nothing fresh tries the store itself.
             wantsStore = wantsStore || freshness_.wantsAttestations(monotonicNow());
         }
         const bool read = wantsStore && readStore();
@@ -133,19 +133,24 @@
 
 bool ConfigService::readStore()
 {
+    // A member list is taken over only together with a head read after it: a list's majority need not share a member
+    // with the majorities that accepted tickets two lists ago, so the head has to come along.
+    if (members_.isRelay()) {
+        members_.refresh().IgnoreError();
+    }
+    const std::optional<OfferedMembers> offered = members_.offered();
     const std::shared_ptr<const ConfigState> held = current();
-    const Instant sentAt = monotonicNow();
     const absl::StatusOr<config::ConfigUpdate> update = reader_.poll(*held);
     if (!update.ok()) {
-        const std::lock_guard lock(mutex_);
-        freshness_.storeFailed(sentAt, monotonicNow());
         return false;
     }
     applyUpdate(*update);
+    if (offered) {
+        members_.adopt(offered->list, offered->confirmed);
+    }
     std::shared_ptr<const ConfigState> newestSnapshot;
     {
         const std::lock_guard lock(mutex_);
-        freshness_.storeAnswered(sentAt, monotonicNow());
         newestSnapshot = history_.newestSnapshot();
     }
     if (members_.isRelay()) {
@@ -153,7 +158,6 @@
             telemetry::log(telemetry::Level::Warning, "config", "maintain_failed", telemetry::errorFields(status));
         }
     }
-    members_.refresh().IgnoreError();
     return true;
 }
 
@@ -201,11 +205,6 @@
         }
         update.tickets.push_back(*std::move(ticket));
     }
-    if (answer.contains("members")) {
-        if (const auto list = membership::MemberList::fromJson(answer["members"]); list.ok()) {
-            members_.adopt(*list, fieldOr<bool>(answer, "members_confirmed", false));
-        }
-    }
     if (answer.contains("age_ms")) {
         update.head = fieldOr<std::uint64_t>(answer, "head", 0);
         update.asOf = sentAt - absl::Milliseconds(fieldOr<std::int64_t>(answer, "age_ms", 0));
@@ -214,6 +213,12 @@
         update.head = 0;
         applyUpdate(update);
     }
+    // After the tickets: the other side holds this list together with its head.
+    if (answer.contains("members") && current()->number() >= fieldOr<std::uint64_t>(answer, "head", 0)) {
+        if (const auto list = membership::MemberList::fromJson(answer["members"]); list.ok()) {
+            members_.adopt(*list, fieldOr<bool>(answer, "members_confirmed", false));
+        }
+    }
 }
 
 // Mesh handlers
@@ -287,7 +292,7 @@
         const Instant now = monotonicNow();
         freshness_.applyHead(history_.head(), now);
         if (update.head > 0 || update.asOf != Instant()) {
-            freshness_.confirm(update.head, update.asOf);
+            freshness_.confirm(update.head, update.asOf, now);
         }
     }
     if (adopted) {
@@ -330,6 +335,14 @@
     }
 }
 
+bool ConfigService::catchUp(const DaemonId &from, std::uint64_t head)
+{
+    if (current()->number() < head) {
+        pullFrom(from).IgnoreError();
+    }
+    return current()->number() >= head;
+}
+
 void ConfigService::applyMembers(const MemberSnapshot &members)
 {
     config::MemberView view;
--- a/src/services/configservice.h
+++ b/src/services/configservice.h
@@ -64,6 +64,9 @@
     absl::StatusOr<config::Ticket> ticket(std::uint64_t number);
     std::vector<config::InForceRecord> inForceRecords() const;
 
+    /// Holds at least this head, or pulls it from the daemon that named it. For MemberService.
+    bool catchUp(const DaemonId &from, std::uint64_t head);
+
     /// Passes a new member list on to the freshness decision.
     void applyMembers(const MemberSnapshot &members);
 
--- a/src/services/endpointservice.cpp
+++ b/src/services/endpointservice.cpp
@@ -210,8 +210,11 @@
         telemetry::log(telemetry::Level::Info, "endpoints", "leaving", {{"endpoint", id.str()}});
         gate_.endpointLeaving(id);
     }
-    for (const auto &[id, endpoint] : returned) {
-        // The dispatcher takes an endpoint back only as a new listing.
+    for (const auto &entryOfReturned : returned) {
+        // The dispatcher takes an endpoint back only as a new listing. Named copies, because clang 14 refuses to
+        // capture structured bindings.
+        const EndpointId &id = entryOfReturned.first;
+        const config::Endpoint &endpoint = entryOfReturned.second;
         const membership::EndpointEntry entry = *list_.find(id);
         gate_.update([&](routing::Dispatcher &dispatcher, Instant) {
             dispatcher.removeEndpoint(id);
--- a/src/services/fleetservice.cpp
+++ b/src/services/fleetservice.cpp
@@ -14,8 +14,8 @@
 using fleet::OrderPlace;
 using fleet::OrderTotals;
 
-FleetService::FleetService(DaemonId self, platform::HttpObjectStore &store, platform::HttpClientSettings orderClient,
-                           FleetInputs inputs, FleetServiceSettings settings)
+FleetService::FleetService(const DaemonId &self, platform::HttpObjectStore &store,
+                           platform::HttpClientSettings orderClient, FleetInputs inputs, FleetServiceSettings settings)
     : self_(self)
     , inputs_(std::move(inputs))
     , settings_(settings)
--- a/src/services/fleetservice.h
+++ b/src/services/fleetservice.h
@@ -53,7 +53,7 @@
 class FleetService
 {
 public:
-    FleetService(DaemonId self, platform::HttpObjectStore &store, platform::HttpClientSettings orderClient,
+    FleetService(const DaemonId &self, platform::HttpObjectStore &store, platform::HttpClientSettings orderClient,
                  FleetInputs inputs, FleetServiceSettings settings);
     ~FleetService();
 
--- a/src/services/memberservice.cpp
+++ b/src/services/memberservice.cpp
@@ -48,9 +48,9 @@
 
 void MemberService::registerHandlers()
 {
-    mesh_.setHandler("members_push", [this](const mesh::PeerInfo &, const Json &body) {
+    mesh_.setHandler("members_push", [this](const mesh::PeerInfo &from, const Json &body) {
         const auto list = MemberList::fromJson(body.value("members", Json()));
-        if (list.ok()) {
+        if (list.ok() && catchUp_(from.id, fieldOr<std::uint64_t>(body, "head", 0))) {
             adopt(*list, fieldOr<bool>(body, "confirmed", false));
         }
         const std::lock_guard lock(mutex_);
@@ -58,6 +58,13 @@
     });
 }
 
+void MemberService::setHeads(std::function<std::uint64_t()> head,
+                             std::function<bool(const DaemonId &, std::uint64_t)> catchUp)
+{
+    head_ = std::move(head);
+    catchUp_ = std::move(catchUp);
+}
+
 void MemberService::start(std::string callerAddress, std::string meshAddress)
 {
     {
@@ -149,7 +156,7 @@
 void MemberService::takeChange(const absl::StatusOr<MemberChange> &change)
 {
     if (change.ok()) {
-        adopt(change->list, change->confirmed);
+        offer(change->list, change->confirmed);
         return;
     }
     if (change.status().code() != absl::StatusCode::kNotFound
@@ -167,14 +174,33 @@
     if (!list.ok()) {
         return list.status();
     }
-    adopt(*list, false);
+    offer(*list, false);
     return absl::OkStatus();
 }
 
+void MemberService::offer(const MemberList &list, bool confirmed)
+{
+    const std::lock_guard lock(mutex_);
+    const std::uint64_t known = offered_ ? offered_->list.version() : list_.version();
+    const bool knownConfirmed = offered_ ? offered_->confirmed : confirmed_;
+    if (list.version() > known || (list.version() == known && confirmed && !knownConfirmed)) {
+        offered_ = OfferedMembers{list, confirmed};
+    }
+}
+
+std::optional<OfferedMembers> MemberService::offered() const
+{
+    const std::lock_guard lock(mutex_);
+    return offered_;
+}
+
 void MemberService::adopt(const MemberList &list, bool confirmed)
 {
     {
         const std::lock_guard lock(mutex_);
+        if (offered_ && offered_->list.version() <= list.version()) {
+            offered_.reset();
+        }
         if (list.version() < list_.version() || (list.version() == list_.version() && (confirmed_ || !confirmed))) {
             return;
         }
@@ -213,7 +239,11 @@
 
 int MemberService::Pusher::pushMembers(const MemberList &list)
 {
-    service_.adopt(list, false);
+    // Nobody is asked to hold a list before this daemon holds it together with the head; confirm() pushes it then.
+    if (service_.snapshot().list.version() < list.version()) {
+        service_.offer(list, false);
+        return 0;
+    }
     const std::vector<DaemonId> voters = list.voters();
     std::vector<DaemonId> others;
     int acknowledged = 0;
@@ -224,7 +254,7 @@
             others.push_back(id);
         }
     }
-    const Json body{{"members", list.toJson()}, {"confirmed", false}};
+    const Json body{{"members", list.toJson()}, {"confirmed", false}, {"head", service_.head_()}};
     for (const MeshAnswer &answer :
          callAll(service_.mesh_, others, "members_push", body, service_.settings_.pushTimeout)) {
         if (answer.body.ok() && fieldOr<std::uint64_t>(*answer.body, "version", 0) >= list.version()) {
--- a/src/services/memberservice.h
+++ b/src/services/memberservice.h
@@ -37,6 +37,13 @@
     membership::Suspects suspects;
 };
 
+/// A list read from or written to the store that is not in use yet.
+struct OfferedMembers
+{
+    membership::MemberList list;
+    bool confirmed = false;
+};
+
 /// Thread-safe. start() and stop() are called from one thread.
 class MemberService
 {
@@ -50,6 +57,8 @@
 
     void registerHandlers();
     void setOnList(OnList onList) { onList_ = std::move(onList); }
+    /// The head held here, and a way to reach at least the head of another daemon. Set both before the mesh starts.
+    void setHeads(std::function<std::uint64_t()> head, std::function<bool(const DaemonId &, std::uint64_t)> catchUp);
 
     /// `self` with the addresses that are known only after the listeners started.
     void start(std::string callerAddress, std::string meshAddress);
@@ -78,11 +87,15 @@
     /// All members but this daemon.
     std::vector<DaemonId> others() const;
 
-    /// Takes a list heard from another daemon if it is newer than the one in use.
+    /// Uses a list if it is newer than the one in use. Only together with the head: for a list from another daemon,
+    /// when this one holds that daemon's head; for an offered list, after a read of the head that began after the
+    /// offer.
     void adopt(const membership::MemberList &list, bool confirmed);
 
-    /// Reads the list from the store, as relays do once a second.
+    /// Reads the list from the store, as relays do once a second, and offers it.
     absl::Status refresh();
+    /// The newest list that waits for a read of the head.
+    std::optional<OfferedMembers> offered() const;
 
 private:
     /// MemberPusherLike over the mesh.
@@ -102,6 +115,7 @@
     void run();
     void keepListed();
     void judgeOthers();
+    void offer(const membership::MemberList &list, bool confirmed);
     void takeChange(const absl::StatusOr<membership::MemberChange> &change);
     void updatePeersLocked();
     std::size_t rankLocked(std::string_view key) const;
@@ -119,6 +133,9 @@
     membership::MemberList list_;
     bool confirmed_ = false;
     membership::Liveness liveness_;
+    std::optional<OfferedMembers> offered_; ///< Newer than list_, or confirmed where list_ is not.
+    std::function<std::uint64_t()> head_;
+    std::function<bool(const DaemonId &, std::uint64_t)> catchUp_;
 
     std::atomic<bool> ready_{false};
     std::atomic<bool> draining_{false};
--- a/src/services/usageservice.cpp
+++ b/src/services/usageservice.cpp
@@ -20,7 +20,7 @@
 
 } // namespace
 
-UsageService::UsageService(DaemonId self, std::string incarnation, platform::HttpObjectStore &store,
+UsageService::UsageService(const DaemonId &self, const std::string &incarnation, platform::HttpObjectStore &store,
                            platform::HttpClientSettings reportClient, UsageServiceSettings settings)
     : settings_(std::move(settings))
     , name_(self.str() + "-" + incarnation)
@@ -130,8 +130,8 @@
             return makeError(absl::StatusCode::kAborted, Step::Lease, "usage", Outcome::NotRun, "the lease lapsed");
         }
         lease::DeadlineGuard guard(grant->deadline);
-        const absl::Status sent = reports_.send({report.workspace, report.window, report.body},
-                                                [&guard](int socket) { guard.attachSocket(socket); });
+        absl::Status sent = reports_.send({report.workspace, report.window, report.body},
+                                          [&guard](int socket) { guard.attachSocket(socket); });
         guard.detachSocket();
         if (!sent.ok()) {
             return sent;
--- a/src/services/usageservice.h
+++ b/src/services/usageservice.h
@@ -31,7 +31,7 @@
 {
 public:
     /// The store must outlive the service. `incarnation` makes the names of this process's partials unique.
-    UsageService(DaemonId self, std::string incarnation, platform::HttpObjectStore &store,
+    UsageService(const DaemonId &self, const std::string &incarnation, platform::HttpObjectStore &store,
                  platform::HttpClientSettings reportClient, UsageServiceSettings settings);
     ~UsageService();
 
