Share a zone's pulls between its relays; keep dial decisions apart

Cause: every daemon of a zone pulled from the same relay first. Asking for due dials marked idle links as spare although nobody closed them, which would have hidden a later failure from the backoff. Change: which relay comes first depends on the puller; LinkTable::dueDials is separate from due.

--- a/src/membership/relays.cpp
+++ b/src/membership/relays.cpp
@@ -73,8 +73,11 @@
     }
     std::vector<DaemonId> result;
     for (const int distance : {0, 1, 2}) {
-        for (const auto &[id, zone] : zones) {
+        for (auto &[id, zone] : zones) {
             if (zone.distance == distance) {
+                std::sort(zone.relays.begin(), zone.relays.end(), [&self](const DaemonId &a, const DaemonId &b) {
+                    return rendezvousWeight(self.id.str(), a.str()) > rendezvousWeight(self.id.str(), b.str());
+                });
                 result.insert(result.end(), zone.relays.begin(), zone.relays.end());
             }
         }
--- a/src/membership/relays.h
+++ b/src/membership/relays.h
@@ -21,8 +21,8 @@
 /// The zone's relays, first choice first; fewer than RelaysPerZone if the zone has fewer live serving daemons.
 std::vector<DaemonId> relaysOf(const MemberList &list, const Suspects &suspects, const ZoneId &zone);
 
-/// Daemons to pull the configuration from, in order of preference: own zone's relays, own region's, all others.
-/// Without `self`.
+/// Daemons to pull the configuration from, in order of preference: own zone's relays, own region's, all others. Without
+/// `self`. Which relay of a zone comes first depends on `self`, so that a zone's daemons share both relays.
 std::vector<DaemonId> pullOrder(const MemberList &list, const Suspects &suspects, const Member &self);
 
 /// The live serving daemon that owns a key (a step, a claim slot); nullopt if none serves.
--- a/src/mesh/linktable.cpp
+++ b/src/mesh/linktable.cpp
@@ -169,12 +169,18 @@
             actions.pings.push_back(connection);
         }
     }
+    return actions;
+}
+
+std::vector<Peer> LinkTable::dueDials(Instant now)
+{
+    std::vector<Peer> dials;
     for (const auto &[id, state] : peers_) {
         if (state.peer.keepLink && reach(id, now) == Reach::Dialable && best(id) == nullptr) {
-            actions.dials.push_back(state.peer);
+            dials.push_back(state.peer);
         }
     }
-    return actions;
+    return dials;
 }
 
 std::vector<LinkStats> LinkTable::stats() const
--- a/src/mesh/linktable.h
+++ b/src/mesh/linktable.h
@@ -34,10 +34,9 @@
     int serving = 0; ///< Requests of the peer without a reply.
 };
 
-/// What the mesh has to do now.
+/// What the mesh has to do now for links that exist.
 struct DueActions
 {
-    std::vector<Peer> dials;
     std::vector<ConnectionId> pings;
     std::vector<std::pair<ConnectionId, std::string>> closes; ///< With the reason.
 };
@@ -82,6 +81,8 @@
     /// Call it at least once per heartbeat. After a longer gap this process itself did not run, and the gap does not
     /// count as silence of its peers, whose messages may still wait to be read.
     DueActions due(Instant now);
+    /// Peers to dial now: those to be kept linked that have no link and are not in backoff.
+    std::vector<Peer> dueDials(Instant now);
     std::vector<LinkStats> stats() const;
 
 private:
--- a/src/mesh/mesh.cpp
+++ b/src/mesh/mesh.cpp
@@ -94,7 +94,7 @@
         entry = known ? std::next(entry) : heard_.erase(entry);
     }
     if (state_ == State::Running) {
-        for (const Peer &peer : links_.due(monotonicNow()).dials) {
+        for (const Peer &peer : links_.dueDials(monotonicNow())) {
             dial(peer);
         }
     }
--- a/src/mesh/meshevents.cpp
+++ b/src/mesh/meshevents.cpp
@@ -195,7 +195,7 @@
         link.lastPing = now;
         send(connection, link, encodePing(nextRequest_++));
     }
-    for (const Peer &peer : actions.dials) {
+    for (const Peer &peer : links_.dueDials(now)) {
         dial(peer);
     }
 }
--- a/tests/membership/choicetest.cpp
+++ b/tests/membership/choicetest.cpp
@@ -106,6 +106,21 @@
     CHECK(std::find(order.begin(), order.end(), self.id) == order.end());
 }
 
+TEST_CASE("the daemons of a zone share its relays", "[membership]")
+{
+    // Guards against the first relay of a zone serving all pulls while the second idles.
+    const MemberList list = makeList(390, ThreeZones);
+    std::map<DaemonId, int> pulls;
+    for (const Member &member : list.members()) {
+        if (member.zone.str() == "north-a") {
+            ++pulls[pullOrder(list, {}, member).front()];
+        }
+    }
+    REQUIRE(pulls.size() == RelaysPerZone);
+    CHECK(pulls.begin()->second > 130 / 3);
+    CHECK(pulls.rbegin()->second > 130 / 3);
+}
+
 TEST_CASE("a key keeps its owner unless the owner leaves", "[membership]")
 {
     const MemberList list = makeList(9, ThreeZones);
--- a/tests/mesh/linktabletest.cpp
+++ b/tests/mesh/linktabletest.cpp
@@ -29,10 +29,11 @@
 {
     LinkTable table(tableSettings());
     table.setPeers({{B, "b:1"}});
-    REQUIRE(table.due(Start).dials.size() == 1);
+    REQUIRE(table.dueDials(Start).size() == 1);
     table.dialled(B, 1);
     table.opened(1, true, Start);
     table.up(1, {B, "b-1", ZoneId()}, Start);
+    table.due(Start);
     return table;
 }
 
@@ -91,7 +92,7 @@
     CHECK(table.setPeers({{B, "b:2"}}) == std::vector<ConnectionId>{1});
     table.find(1)->closing = true;
     table.closed(1, "peer removed or moved", at(1));
-    const DueActions actions = table.due(at(1));
-    REQUIRE(actions.dials.size() == 1);
-    CHECK(actions.dials.front().address == "b:2");
+    const std::vector<Peer> dials = table.dueDials(at(1));
+    REQUIRE(dials.size() == 1);
+    CHECK(dials.front().address == "b:2");
 }
