Read the head from the store whenever a member list is taken over

Cause: offering a list until the next poll made a site of five daemons take about 5 s to start, and once more than 30 s. Change: MemberService reads the head itself before it uses a list; daemon-specific dispatcher settings (zone, region, seed).

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -83,6 +83,16 @@
     return result;
 }
 
+routing::DispatcherSettings dispatcherSettings(const settings::DaemonSettings &settings, const std::string &incarnation)
+{
+    routing::DispatcherSettings result;
+    result.chooser.ownZone = settings.zone;
+    result.chooser.ownRegion = settings.region;
+    // Daemons with equal seeds would back off and retry at the same moments.
+    result.seed = stableHash(incarnation);
+    return result;
+}
+
 services::EndpointServiceSettings endpointSettings(const settings::Tunables &tunables)
 {
     services::EndpointServiceSettings result;
@@ -137,7 +147,7 @@
     , mesh_(meshSettings(settings_, incarnation_), makeTransport(settings_))
     , members_(selfMember(settings_, incarnation_), mesh_, store_, memberSettings(settings_.tunables))
     , config_(settings_.daemon, mesh_, members_, store_, configSettings(settings_.tunables))
-    , gate_(routing::DispatcherSettings{})
+    , gate_(dispatcherSettings(settings_, incarnation_))
     , engines_(connections_)
     , plainServices_(connections_)
     , endpoints_(
@@ -194,8 +204,8 @@
     server::installErrorHandlers(callerListener_.routes());
     server::installErrorHandlers(adminListener_.routes());
 
-    members_.setHeads([this] { return config_.current()->number(); },
-                      [this](const DaemonId &from, std::uint64_t head) { return config_.catchUp(from, head); });
+    members_.setHeadAccess({[this] { return config_.current()->number(); }, [this] { return config_.readHead(); },
+                            [this](const DaemonId &from, std::uint64_t head) { return config_.catchUp(from, head); }});
     members_.setOnList([this](const services::MemberSnapshot &members) {
         config_.applyMembers(members);
         const auto live = static_cast<std::uint32_t>(members.list.members().size() - members.suspects.size());
--- a/src/services/configservice.cpp
+++ b/src/services/configservice.cpp
@@ -113,7 +113,7 @@
 void ConfigService::runReader()
 {
     for (;;) {
-        bool wantsStore = members_.isRelay() || members_.offered();
+        bool wantsStore = members_.isRelay();
         {
             const std::lock_guard lock(mutex_);
             // A daemon whose pulls bring nothing fresh tries the store itself.
@@ -133,21 +133,15 @@
 
 bool ConfigService::readStore()
 {
-    // A member list is taken over only together with a head read after it: a list's majority need not share a member
-    // with the majorities that accepted tickets two lists ago, so the head has to come along.
     if (members_.isRelay()) {
         members_.refresh().IgnoreError();
     }
-    const std::optional<OfferedMembers> offered = members_.offered();
     const std::shared_ptr<const ConfigState> held = current();
     const absl::StatusOr<config::ConfigUpdate> update = reader_.poll(*held);
     if (!update.ok()) {
         return false;
     }
     applyUpdate(*update);
-    if (offered) {
-        members_.adopt(offered->list, offered->confirmed);
-    }
     std::shared_ptr<const ConfigState> newestSnapshot;
     {
         const std::lock_guard lock(mutex_);
@@ -335,6 +329,18 @@
     }
 }
 
+bool ConfigService::readHead()
+{
+    // A reader of its own: the polling reader belongs to another thread.
+    config::ConfigReader<platform::HttpObjectStore> reader(store_);
+    const absl::StatusOr<config::ConfigUpdate> update = reader.load(*current());
+    if (!update.ok()) {
+        return false;
+    }
+    applyUpdate(*update);
+    return true;
+}
+
 bool ConfigService::catchUp(const DaemonId &from, std::uint64_t head)
 {
     if (current()->number() < head) {
--- a/src/services/configservice.h
+++ b/src/services/configservice.h
@@ -64,6 +64,8 @@
     absl::StatusOr<config::Ticket> ticket(std::uint64_t number);
     std::vector<config::InForceRecord> inForceRecords() const;
 
+    /// Reads the head and the tickets up to it from the store. For MemberService.
+    bool readHead();
     /// Holds at least this head, or pulls it from the daemon that named it. For MemberService.
     bool catchUp(const DaemonId &from, std::uint64_t head);
 
--- a/src/services/memberservice.cpp
+++ b/src/services/memberservice.cpp
@@ -50,7 +50,7 @@
 {
     mesh_.setHandler("members_push", [this](const mesh::PeerInfo &from, const Json &body) {
         const auto list = MemberList::fromJson(body.value("members", Json()));
-        if (list.ok() && catchUp_(from.id, fieldOr<std::uint64_t>(body, "head", 0))) {
+        if (list.ok() && heads_.catchUpWith(from.id, fieldOr<std::uint64_t>(body, "head", 0))) {
             adopt(*list, fieldOr<bool>(body, "confirmed", false));
         }
         const std::lock_guard lock(mutex_);
@@ -58,13 +58,6 @@
     });
 }
 
-void MemberService::setHeads(std::function<std::uint64_t()> head,
-                             std::function<bool(const DaemonId &, std::uint64_t)> catchUp)
-{
-    head_ = std::move(head);
-    catchUp_ = std::move(catchUp);
-}
-
 void MemberService::start(std::string callerAddress, std::string meshAddress)
 {
     {
@@ -156,7 +149,7 @@
 void MemberService::takeChange(const absl::StatusOr<MemberChange> &change)
 {
     if (change.ok()) {
-        offer(change->list, change->confirmed);
+        takeOver(change->list, change->confirmed);
         return;
     }
     if (change.status().code() != absl::StatusCode::kNotFound
@@ -174,33 +167,29 @@
     if (!list.ok()) {
         return list.status();
     }
-    offer(*list, false);
+    takeOver(*list, false);
     return absl::OkStatus();
 }
 
-void MemberService::offer(const MemberList &list, bool confirmed)
+bool MemberService::takeOver(const MemberList &list, bool confirmed)
 {
-    const std::lock_guard lock(mutex_);
-    const std::uint64_t known = offered_ ? offered_->list.version() : list_.version();
-    const bool knownConfirmed = offered_ ? offered_->confirmed : confirmed_;
-    if (list.version() > known || (list.version() == known && confirmed && !knownConfirmed)) {
-        offered_ = OfferedMembers{list, confirmed};
+    {
+        const std::lock_guard lock(mutex_);
+        if (list.version() == list_.version() && (confirmed_ || !confirmed)) {
+            return true;
+        }
     }
-}
-
-std::optional<OfferedMembers> MemberService::offered() const
-{
-    const std::lock_guard lock(mutex_);
-    return offered_;
+    if (!heads_.readFromStore()) {
+        return false;
+    }
+    adopt(list, confirmed);
+    return true;
 }
 
 void MemberService::adopt(const MemberList &list, bool confirmed)
 {
     {
         const std::lock_guard lock(mutex_);
-        if (offered_ && offered_->list.version() <= list.version()) {
-            offered_.reset();
-        }
         if (list.version() < list_.version() || (list.version() == list_.version() && (confirmed_ || !confirmed))) {
             return;
         }
@@ -239,9 +228,8 @@
 
 int MemberService::Pusher::pushMembers(const MemberList &list)
 {
-    // Nobody is asked to hold a list before this daemon holds it together with the head; confirm() pushes it then.
-    if (service_.snapshot().list.version() < list.version()) {
-        service_.offer(list, false);
+    // Nobody is asked to hold a list before this daemon holds it together with the head.
+    if (!service_.takeOver(list, false)) {
         return 0;
     }
     const std::vector<DaemonId> voters = list.voters();
@@ -254,7 +242,7 @@
             others.push_back(id);
         }
     }
-    const Json body{{"members", list.toJson()}, {"confirmed", false}, {"head", service_.head_()}};
+    const Json body{{"members", list.toJson()}, {"confirmed", false}, {"head", service_.heads_.current()}};
     for (const MeshAnswer &answer :
          callAll(service_.mesh_, others, "members_push", body, service_.settings_.pushTimeout)) {
         if (answer.body.ok() && fieldOr<std::uint64_t>(*answer.body, "version", 0) >= list.version()) {
--- a/src/services/memberservice.h
+++ b/src/services/memberservice.h
@@ -29,19 +29,20 @@
     std::vector<mesh::Peer> seeds; ///< Daemons to ask while the store is down and no list is known.
 };
 
-/// The member list in use, and whether its last change is known to be in effect.
-struct MemberSnapshot
+/// The configuration's head, as the member list needs it.
+struct HeadAccess
 {
-    membership::MemberList list;
-    bool confirmed = false;
-    membership::Suspects suspects;
+    std::function<std::uint64_t()> current;
+    std::function<bool()> readFromStore; ///< False if the store was not reached.
+    std::function<bool(const DaemonId &, std::uint64_t)> catchUpWith; ///< False if this daemon's head stays behind.
 };
 
-/// A list read from or written to the store that is not in use yet.
-struct OfferedMembers
+/// The member list in use, and whether its last change is known to be in effect.
+struct MemberSnapshot
 {
     membership::MemberList list;
     bool confirmed = false;
+    membership::Suspects suspects;
 };
 
 /// Thread-safe. start() and stop() are called from one thread.
@@ -57,8 +58,8 @@
 
     void registerHandlers();
     void setOnList(OnList onList) { onList_ = std::move(onList); }
-    /// The head held here, and a way to reach at least the head of another daemon. Set both before the mesh starts.
-    void setHeads(std::function<std::uint64_t()> head, std::function<bool(const DaemonId &, std::uint64_t)> catchUp);
+    /// How the service reaches the configuration. Set before the mesh starts.
+    void setHeadAccess(HeadAccess access) { heads_ = std::move(access); }
 
     /// `self` with the addresses that are known only after the listeners started.
     void start(std::string callerAddress, std::string meshAddress);
@@ -87,15 +88,12 @@
     /// All members but this daemon.
     std::vector<DaemonId> others() const;
 
-    /// Uses a list if it is newer than the one in use. Only together with the head: for a list from another daemon,
-    /// when this one holds that daemon's head; for an offered list, after a read of the head that began after the
-    /// offer.
+    /// Uses a list if it is newer than the one in use. Call it only when this daemon holds a head that is as new as the
+    /// list: majorities of lists two versions apart need share no member, so the head has to come along with the list.
     void adopt(const membership::MemberList &list, bool confirmed);
 
-    /// Reads the list from the store, as relays do once a second, and offers it.
+    /// Reads the list from the store, as relays do once a second, and takes it over.
     absl::Status refresh();
-    /// The newest list that waits for a read of the head.
-    std::optional<OfferedMembers> offered() const;
 
 private:
     /// MemberPusherLike over the mesh.
@@ -115,7 +113,7 @@
     void run();
     void keepListed();
     void judgeOthers();
-    void offer(const membership::MemberList &list, bool confirmed);
+    bool takeOver(const membership::MemberList &list, bool confirmed);
     void takeChange(const absl::StatusOr<membership::MemberChange> &change);
     void updatePeersLocked();
     std::size_t rankLocked(std::string_view key) const;
@@ -128,14 +126,12 @@
     Pusher pusher_;
     membership::MembershipDriver<platform::HttpObjectStore, Pusher> driver_;
     OnList onList_;
+    HeadAccess heads_;
 
     mutable std::mutex mutex_; ///< Guards list_, confirmed_, liveness_.
     membership::MemberList list_;
     bool confirmed_ = false;
     membership::Liveness liveness_;
-    std::optional<OfferedMembers> offered_; ///< Newer than list_, or confirmed where list_ is not.
-    std::function<std::uint64_t()> head_;
-    std::function<bool(const DaemonId &, std::uint64_t)> catchUp_;
 
     std::atomic<bool> ready_{false};
     std::atomic<bool> draining_{false};
