--- a/src/requests/claimdriver.h
+++ b/src/requests/claimdriver.h
@@ -127,6 +127,7 @@
     const auto taken = batch_.take(monotonicNow());
     lock.unlock();
     std::vector<std::string> ids;
+    ids.reserve(taken.size());
     for (const ClaimBatch::Waiting &waiting : taken) {
         ids.push_back(waiting.id);
     }
--- a/src/rollout/samplerunner.h
+++ b/src/rollout/samplerunner.h
@@ -85,7 +85,7 @@
     };
 
     void dispatch();
-    void enqueue(std::vector<SlotTask> tasks);
+    void enqueue(std::vector<SlotTask> &&tasks);
     std::size_t runningHedges() const;
     void sweep();
     void work();
@@ -171,7 +171,7 @@
 }
 
 template<SampleGenerator Generator>
-void SampleRunner<Generator>::enqueue(std::vector<SlotTask> tasks)
+void SampleRunner<Generator>::enqueue(std::vector<SlotTask> &&tasks)
 {
     const std::lock_guard lock(mutex_);
     for (SlotTask &task : tasks) {
