--- a/tests/scenario/callcommands.cpp
+++ b/tests/scenario/callcommands.cpp
@@ -1,6 +1,10 @@
 // Scenario commands that call the daemons and read the endpoints' audits.
 #include "scenario/scenario.h"
 
+#include "standins/enginestandin.h"
+
+#include <sstream>
+
 namespace currantlug::scenario {
 
 namespace {
@@ -12,6 +16,20 @@
     return fieldOr<int>(executions, idempotencyKey.c_str(), 0);
 }
 
+/// Tokens of text in a stream of completion events.
+int streamedTokens(const std::string &stream)
+{
+    std::size_t bytes = 0;
+    std::istringstream lines(stream);
+    for (std::string line; std::getline(lines, line);) {
+        const auto event = line.starts_with("data: {") ? parseJson(line.substr(6)) : std::nullopt;
+        if (event && event->contains("choices")) {
+            bytes += fieldOr<std::string>((*event)["choices"][0], "text", "").size();
+        }
+    }
+    return static_cast<int>(bytes / standins::EngineTokenBytes);
+}
+
 std::string keyText(const std::string &name)
 {
     return name == "herders" ? HerdersKey : name == "clinic" ? ClinicKey : name;
@@ -19,9 +37,18 @@
 
 } // namespace
 
+/// The daemon of `at`; "other" is one that `signal holder=` did not name last.
+int ScenarioRunner::calledDaemon(const Command &command)
+{
+    if (command.text("at") != "other") {
+        return command.number("at", 1);
+    }
+    return std::stoi(variables_.at("last-holder")) % site_->daemonCount() + 1;
+}
+
 HttpReply ScenarioRunner::sendCall(const Command &command, BackgroundCall *background)
 {
-    const int port = site_->daemon(command.number("at", 1)).callerPort;
+    const int port = site_->daemon(calledDaemon(command)).callerPort;
     httplib::Client client("127.0.0.1", port);
     client.set_connection_timeout(2);
     client.set_read_timeout(std::chrono::milliseconds(command.number("timeout_ms", 60'000)));
@@ -91,7 +118,8 @@
     }
 }
 
-/// expect-call name=NAME result=whole|cut within_ms=N — whole: with the end marker; cut: ended without it.
+/// expect-call name=NAME result=whole|cut [tokens=N] within_ms=N — whole: with the end marker, and with the text of all
+/// tokens; cut: ended without the marker.
 void ScenarioRunner::expectCall(const Command &command)
 {
     BackgroundCall &call = *calls_.at(command.text("name"));
@@ -104,6 +132,9 @@
     if (whole != (command.text("result", "whole") == "whole")) {
         throw ScenarioError("status " + std::to_string(call.reply.status) + ", received " + call.streamed);
     }
+    if (command.has("tokens") && streamedTokens(call.streamed) != command.number("tokens")) {
+        throw ScenarioError("received " + std::to_string(streamedTokens(call.streamed)) + " tokens");
+    }
     if (!whole && call.reply.status == 200 && call.streamed.find("\"error\"") == std::string::npos) {
         throw ScenarioError("the stream was cut without an error event: " + call.streamed);
     }
@@ -226,4 +257,59 @@
     }
 }
 
+/// expect-orders replicas=N within_ms=N — the newest orders of all zones add up to this many replicas, and no order
+/// came from a sender after one with a higher term had arrived.
+void ScenarioRunner::expectOrders(const Command &command)
+{
+    eventually(command, [&](std::string &seen) {
+        const HttpReply reply = Site::request(site_->platform().port, "GET", "/audit", {}, "");
+        const Json orders = reply.json.is_object() ? reply.json.value("orders", Json::array()) : Json::array();
+        seen = orders.dump();
+        std::map<std::string, int> newest;
+        std::map<std::uint64_t, std::string> senderOfTerm;
+        std::uint64_t highest = 0;
+        for (const Json &order : orders) {
+            const auto term = fieldOr<std::uint64_t>(order, "fencing_token", 0);
+            const std::string sender = fieldOr<std::string>(order, "sender", "");
+            if (term < highest || senderOfTerm.try_emplace(term, sender).first->second != sender) {
+                throw ScenarioError("an order came from a process that was no longer in charge: " + seen);
+            }
+            highest = term;
+            newest[fieldOr<std::string>(order, "availability_zone", "")] =
+                fieldOr<int>(order, "lasting", 0) + fieldOr<int>(order, "cheap", 0);
+        }
+        int total = 0;
+        for (const auto &[zone, replicas] : newest) {
+            total += replicas;
+        }
+        return total == command.number("replicas");
+    });
+}
+
+/// expect-usage workspace=W tokens=N within_ms=N — the reported windows add up to this many tokens, and no window was
+/// reported twice with different figures.
+void ScenarioRunner::expectUsage(const Command &command)
+{
+    eventually(command, [&](std::string &seen) {
+        const HttpReply reply = Site::request(site_->platform().port, "GET", "/audit", {}, "");
+        const Json reports = reply.json.is_object() ? reply.json.value("reports", Json::array()) : Json::array();
+        seen = reports.dump();
+        std::map<std::string, std::string> bodies;
+        for (const Json &report : reports) {
+            if (fieldOr<std::string>(report, "workspace", "") != command.text("workspace")) {
+                continue;
+            }
+            const std::string body = fieldOr<std::string>(report, "body", "");
+            if (bodies.try_emplace(fieldOr<std::string>(report, "window", ""), body).first->second != body) {
+                throw ScenarioError("a window was reported twice with different figures: " + seen);
+            }
+        }
+        int tokens = 0;
+        for (const auto &[window, body] : bodies) {
+            tokens += fieldOr<int>(parseJson(body).value_or(Json()), "tokens", 0);
+        }
+        return tokens == command.number("tokens");
+    });
+}
+
 } // namespace currantlug::scenario
--- a/tests/scenario/processcommands.cpp
+++ b/tests/scenario/processcommands.cpp
@@ -28,6 +28,8 @@
     settings.engines = command.number("engines", settings.engines);
     settings.services = command.number("services", settings.services);
     settings.tokenMs = command.number("token_ms", settings.tokenMs);
+    settings.orderedReplicas = command.number("replicas", 0);
+    settings.checkFencing = command.text("fencing", "on") == "on";
     std::istringstream flags(command.text("flags"));
     for (std::string flag; flags >> flag;) {
         settings.daemonFlags.push_back(flag);
@@ -45,11 +47,17 @@
     expectTicket(inForce);
 }
 
-/// signal daemon=N|engine=N|platform=1 name=kill|stop|continue|term
+/// signal daemon=N|engine=N|platform=1|holder=LEASE|last_holder=1 name=kill|stop|continue|term
 void ScenarioRunner::signalDaemon(const Command &command)
 {
     const int number = signalNumber(command.text("name"));
-    if (command.has("engine")) {
+    if (command.has("holder")) {
+        const int holder = leaseHolder(command.text("holder"));
+        variables_["last-holder"] = std::to_string(holder);
+        site_->daemon(holder).process->signal(number);
+    } else if (command.has("last_holder")) {
+        site_->daemon(std::stoi(variables_.at("last-holder"))).process->signal(number);
+    } else if (command.has("engine")) {
         site_->engine(command.number("engine")).process->signal(number);
     } else if (command.has("platform")) {
         site_->platform().process->signal(number);
--- a/tests/scenario/scenario.cpp
+++ b/tests/scenario/scenario.cpp
@@ -143,6 +143,10 @@
         {"expect-no-key", &R::expectNoKeyAtEndpoints},
         {"expect-executions", &R::expectExecutions},
         {"expect-no-new-work", &R::expectNoNewWork},
+        {"expect-orders", &R::expectOrders},
+        {"expect-usage", &R::expectUsage},
+        {"expect-new-holder", &R::expectNewHolder},
+        {"resize-pool", &R::resizePool},
         {"wait", &R::pauseRun},
     };
     return table;
--- a/tests/scenario/scenario.h
+++ b/tests/scenario/scenario.h
@@ -79,6 +79,9 @@
     void expectServing(const Command &command);
     void expectTicket(const Command &command);
     void expectMembers(const Command &command);
+    void expectNewHolder(const Command &command);
+    void resizePool(const Command &command);
+    int leaseHolder(const std::string &lease);
     void expectAddresses(const Command &command);
 
     // Calls
@@ -93,8 +96,11 @@
     void expectNoKeyAtEndpoints(const Command &command);
     void expectExecutions(const Command &command);
     void expectNoNewWork(const Command &command);
+    void expectOrders(const Command &command);
+    void expectUsage(const Command &command);
     void pauseRun(const Command &command);
 
+    int calledDaemon(const Command &command);
     HttpReply sendCall(const Command &command, BackgroundCall *background);
     void eventually(const Command &command, const std::function<bool(std::string &)> &holds);
     StandinProcess &standin(const std::string &name);
--- a/tests/scenario/scenariotest.cpp
+++ b/tests/scenario/scenariotest.cpp
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <iterator>
@@ -15,7 +16,10 @@
 std::vector<std::filesystem::path> scenarioFiles()
 {
     std::vector<std::filesystem::path> files;
-    for (const auto &entry : std::filesystem::directory_iterator(CURRANTLUG_SCENARIO_DIR)) {
+    // Another folder of scenarios, for measurements and for trying out a new one.
+    const char *folder = std::getenv("CURRANTLUG_SCENARIOS");
+    for (const auto &entry :
+         std::filesystem::directory_iterator(folder != nullptr ? folder : CURRANTLUG_SCENARIO_DIR)) {
         if (entry.path().extension() == ".scenario") {
             files.push_back(entry.path());
         }
--- a/tests/scenario/site.cpp
+++ b/tests/scenario/site.cpp
@@ -47,8 +47,8 @@
 {
     char pattern[] = "/tmp/currantlug-scenario-XXXXXX";
     logFolder_ = mkdtemp(pattern);
-    platform_ = startStandin("standin-platform", {}, "platform");
     const std::string fencing = settings_.checkFencing ? "true" : "false";
+    platform_ = startStandin("standin-platform", {"--check-fencing=" + fencing}, "platform");
     for (int i = 1; i <= settings_.engines; ++i) {
         engines_.push_back(startStandin(
             "standin-engine",
@@ -174,6 +174,10 @@
     set["keys"] = {{"herders-1", {{"workspace", "herders"}, {"digest", sha256Hex(HerdersKey)}}},
                    {"clinic-1", {{"workspace", "clinic"}, {"digest", sha256Hex(ClinicKey)}}}};
     set["pools"] = {{"engines", {{"kind", "engine"}, {"model", "count"}, {"endpoints", engines}}}};
+    if (settings_.orderedReplicas > 0) {
+        set["pools"]["engines"].update(
+            Json{{"min", settings_.orderedReplicas}, {"max", settings_.orderedReplicas + 4}, {"spend_per_hour", 100}});
+    }
     set["routes"] = {
         {"count", {{"workspace", "herders"}, {"pool", "engines"}, {"kind", "engine"}, {"repeatable", true}}}};
     if (serviceCount() > 0) {
--- a/tests/scenario/site.h
+++ b/tests/scenario/site.h
@@ -22,7 +22,8 @@
     int engines = 3;
     int services = 1;
     int tokenMs = 2; ///< Of the engines, per token.
-    bool checkFencing = true;
+    bool checkFencing = true; ///< Of the platform and the engines.
+    int orderedReplicas = 0; ///< Least replicas that the base ticket orders of the engine pool; 0 orders none.
     std::vector<std::string> daemonFlags; ///< Extra flags of all daemons.
 };
 
--- a/tests/scenario/statecommands.cpp
+++ b/tests/scenario/statecommands.cpp
@@ -81,4 +81,45 @@
     });
 }
 
+/// Number of the daemon that the store names as the lease's holder, 0 if none.
+int ScenarioRunner::leaseHolder(const std::string &lease)
+{
+    const HttpReply reply = Site::request(site_->platform().port, "GET", "/v1/objects/leases/" + lease, {}, "");
+    const Json record =
+        reply.json.is_object() ? parseJson(fieldOr<std::string>(reply.json, "value", "")).value_or(Json()) : Json();
+    const std::string holder = fieldOr<std::string>(record, "holder", "");
+    return holder.empty() ? 0 : std::stoi(holder.substr(holder.rfind('-') + 1));
+}
+
+/// expect-new-holder lease=L within_ms=N — held, and not by the daemon that `signal holder=` named last.
+void ScenarioRunner::expectNewHolder(const Command &command)
+{
+    const auto last = variables_.find("last-holder");
+    eventually(command, [&](std::string &seen) {
+        const int holder = leaseHolder(command.text("lease"));
+        seen = std::to_string(holder);
+        return holder != 0 && (last == variables_.end() || seen != last->second);
+    });
+}
+
+/// resize-pool at=N number=N min=N — files the ticket that sets the least replicas of the engine pool.
+void ScenarioRunner::resizePool(const Command &command)
+{
+    Json ticket = site_->baseTicket();
+    Json pool = ticket["set"]["pools"]["engines"];
+    pool.update(Json{{"min", command.number("min")}, {"max", command.number("min") + 4}, {"spend_per_hour", 100}});
+    const Json change{{"number", command.number("number")},
+                      {"author", "scenario"},
+                      {"note", "resize"},
+                      {"set", {{"pools", {{"engines", pool}}}}}};
+    int at = command.number("at", 1);
+    if (variables_.contains("last-holder") && std::to_string(at) == variables_["last-holder"]) {
+        at = at % site_->daemonCount() + 1;
+    }
+    const HttpReply reply = site_->admin(at, "POST", "/admin/tickets", change);
+    if (reply.status != 200) {
+        throw ScenarioError("status " + std::to_string(reply.status) + ": " + reply.body);
+    }
+}
+
 } // namespace currantlug::scenario
