--- a/tests/scenario/scenariotest.cpp
+++ b/tests/scenario/scenariotest.cpp
@@ -17,7 +17,7 @@
 {
     std::vector<std::filesystem::path> files;
     // Another folder of scenarios, for measurements and for trying out a new one.
-    const char *folder = std::getenv("CURRANTLUG_SCENARIOS");
+    const char *folder = std::getenv("SCENARIO_FOLDER");
     for (const auto &entry :
          std::filesystem::directory_iterator(folder != nullptr ? folder : CURRANTLUG_SCENARIO_DIR)) {
         if (entry.path().extension() == ".scenario") {
