Move calls to plain services out of the HTTP handler

Cause: runServiceCall was 60 lines of queueing, claims and attempts inside the interface class. Change: services::PlainCallService; calls that may not be repeated use a connection of their own. Conclusion: behaviour unchanged but for the fresh connection.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -169,12 +169,12 @@
     , fleet_(settings_.daemon, store_, clientSettings(settings_.ordersAddress), fleetInputs(),
              fleetSettings(settings_.tunables))
     , claims_({settings_.daemon, incarnation_}, mesh_, members_, store_, {settings_.tunables.claimBatch})
+    , plainCalls_(gate_, active_, claims_, plainServices_, [this](const auto &record) { recordCall(record); })
     , generator_(completions_, [this] { return config_.current(); })
     , requestGate_(config_, members_)
     , callerListener_(listenerSettings(settings_.callerAddress, settings_.callerPort))
     , adminListener_(listenerSettings(settings_.adminAddress, settings_.adminPort))
-    , callerApi_({requestGate_, config_, members_, completions_, gate_, active_, claims_, plainServices_,
-                  [this](const auto &record) { recordCall(record); }})
+    , callerApi_({requestGate_, config_, members_, completions_, plainCalls_, claims_})
     , trainerApi_({requestGate_, config_, members_, steps_, mesh_})
     , adminApi_({settings_.adminToken, config_, members_, endpoints_, gate_, metrics_,
                  [this] { return statistics_.workspaces(*config_.current()); },
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -77,6 +77,7 @@
     services::CompletionService completions_;
     services::FleetService fleet_;
     services::ClaimService claims_;
+    services::PlainCallService plainCalls_;
     services::CompletionSampleGenerator generator_;
     rollout::StepBook steps_;
     std::unique_ptr<rollout::SampleRunner<services::CompletionSampleGenerator>> runner_;
--- a/src/server/callerapi.cpp
+++ b/src/server/callerapi.cpp
@@ -16,7 +16,6 @@
 constexpr std::uint64_t DefaultMaxTokens = 256;
 constexpr std::uint64_t LargestMaxTokens = 1 << 17;
 constexpr absl::Duration DefaultDeadline = absl::Seconds(120);
-constexpr std::uint32_t ServiceCallTokens = 32; ///< Cost of a plain call in the fair queue, in tokens.
 
 absl::Status invalid(std::string_view message)
 {
@@ -241,9 +240,16 @@
                          makeError(absl::StatusCode::kNotFound, Step::CheckRoute, "", Outcome::NotRun,
                                    "the route leads to a model engine"));
     }
-    const Instant startedAt = monotonicNow();
-    const absl::StatusOr<endpoints::ServiceAnswer> answer = runServiceCall(*authorized, route, request);
-    services_.onRecord({authorized->authorization.workspace, route, 0, monotonicNow() - startedAt, answer.ok()});
+    services::PlainCall call;
+    call.authorization = authorized->authorization;
+    call.route = route;
+    call.request.method = request.method;
+    call.request.path = serviceTarget(authorized->keyed.scrubbed.target, route.str());
+    call.request.headers = authorized->keyed.scrubbed.headers;
+    call.request.body = authorized->keyed.scrubbed.body;
+    call.request.freshConnection = !authorized->authorization.route.repeatable;
+    call.idempotencyKey = request.get_header_value("Idempotency-Key");
+    const absl::StatusOr<endpoints::ServiceAnswer> answer = services_.plainCalls.run(std::move(call));
     if (!answer.ok()) {
         return sendError(response, answer.status(), authorized->keyed.redactor, &services_.members);
     }
@@ -259,68 +265,6 @@
     response.set_content(answer->body, contentType);
 }
 
-absl::StatusOr<endpoints::ServiceAnswer>
-CallerApi::runServiceCall(const AuthorizedRequest &authorized, const RouteId &route, const httplib::Request &request)
-{
-    const bool repeatable = authorized.authorization.route.repeatable;
-    if (!repeatable && !request.has_header("Idempotency-Key")) {
-        return invalid("calls on this route may not be repeated: an Idempotency-Key header is needed");
-    }
-    routing::WorkItem item;
-    item.workspace = authorized.authorization.workspace;
-    item.key = authorized.authorization.key;
-    item.route = route;
-    item.pool = authorized.authorization.route.pool;
-    item.repeatable = repeatable;
-    item.expectedTokens = ServiceCallTokens;
-    item.deadline = monotonicNow() + DefaultDeadline;
-
-    const auto cancel = std::make_shared<endpoints::CancelFlag>();
-    const services::ActiveCallId active = services_.active.add(authorized.authorization, route, cancel);
-    absl::StatusOr<endpoints::ServiceAnswer> answer = absl::UnknownError("not run");
-    absl::StatusOr<services::Attempt> attempt = services_.dispatch.submit(std::move(item), cancel);
-    // The claim comes after the queue, so that a refusal by the queue leaves the Idempotency-Key unused.
-    if (attempt.ok()) {
-        if (absl::Status claimed = claimIfNeeded(authorized, route, request); !claimed.ok()) {
-            services_.dispatch.cancel(attempt->work);
-            attempt = claimed;
-        }
-    }
-    if (!attempt.ok()) {
-        answer = attempt.status();
-    }
-    while (attempt.ok()) {
-        endpoints::ServiceRequest call;
-        call.address = attempt->address;
-        call.method = request.method;
-        call.path = serviceTarget(authorized.keyed.scrubbed.target, route.str());
-        call.headers = authorized.keyed.scrubbed.headers;
-        call.body = authorized.keyed.scrubbed.body;
-        call.requestId = randomHex(RequestIdBytes);
-        answer = services_.plainServices.call(call, attempt->cancel.get());
-        if (answer.ok()) {
-            services_.dispatch.finished(*attempt);
-            break;
-        }
-        if (cancel->cancelled()) {
-            services_.dispatch.cancel(attempt->work);
-            break;
-        }
-        const routing::FailureCause cause = services_.dispatch.isMoved(*attempt) ? routing::FailureCause::Moved
-            : errorContext(answer.status()).outcome == Outcome::NotRun           ? routing::FailureCause::ConnectFailed
-                                                                                 : routing::FailureCause::Cut;
-        if (services_.dispatch.failed(*attempt, cause) == services::FailedAttempt::GivenUp) {
-            break;
-        }
-        attempt = services_.dispatch.next(attempt->work);
-    }
-    const absl::Status ended = services_.active.remove(active);
-    if (!answer.ok() && !ended.ok()) {
-        return ended;
-    }
-    return answer;
-}
-
 void CallerApi::callToken(const httplib::Request &request, httplib::Response &response)
 {
     const RequestGate::Pass pass(services_.gate);
--- a/src/server/callerapi.h
+++ b/src/server/callerapi.h
@@ -2,10 +2,10 @@
 #ifndef CURRANTLUG_SERVER_CALLERAPI_H
 #define CURRANTLUG_SERVER_CALLERAPI_H
 
-#include "endpoints/serviceclient.h"
 #include "server/requestcontext.h"
 #include "services/claimservice.h"
 #include "services/completionservice.h"
+#include "services/plaincallservice.h"
 
 #include <httplib.h>
 
@@ -18,11 +18,8 @@
     services::ConfigService &config;
     services::MemberService &members;
     services::CompletionService &completions;
-    services::DispatchGate &dispatch;
-    services::ActiveCalls &active;
+    services::PlainCallService &plainCalls;
     services::ClaimService &claims;
-    endpoints::ServiceClient &plainServices;
-    services::CompletionService::OnRecord onRecord;
 };
 
 class CallerApi
@@ -44,8 +41,6 @@
     void callToken(const httplib::Request &request, httplib::Response &response);
     absl::Status claimIfNeeded(const AuthorizedRequest &authorized, const RouteId &route,
                                const httplib::Request &request);
-    absl::StatusOr<endpoints::ServiceAnswer> runServiceCall(const AuthorizedRequest &authorized, const RouteId &route,
-                                                            const httplib::Request &request);
 
     CallerServices services_;
 };
