--- a/tests/scenario/callcommands.cpp
+++ b/tests/scenario/callcommands.cpp
@@ -246,15 +246,27 @@
     return reply.json.is_object() ? reply.json.value("requests", Json::object()).size() : 0;
 }
 
-/// expect-no-new-work engine=N ms=N — the engine gets no request during this time.
+/// expect-no-new-work engine=N ms=N — the engine gets no request during this time, while the others get some.
 void ScenarioRunner::expectNoNewWork(const Command &command)
 {
-    const std::uint64_t before = acceptedByEngine(command.number("engine"));
+    const int engine = command.number("engine");
+    const auto countOthers = [&] {
+        std::uint64_t total = 0;
+        for (int i = 1; i <= site_->engineCount(); ++i) {
+            total += i == engine ? 0 : acceptedByEngine(i);
+        }
+        return total;
+    };
+    const std::uint64_t before = acceptedByEngine(engine);
+    const std::uint64_t othersBefore = countOthers();
     pauseRun(command);
-    const std::uint64_t after = acceptedByEngine(command.number("engine"));
+    const std::uint64_t after = acceptedByEngine(engine);
     if (after != before) {
         throw ScenarioError(std::to_string(after - before) + " new requests");
     }
+    if (countOthers() == othersBefore) {
+        throw ScenarioError("no engine got work, so nothing was shown");
+    }
 }
 
 /// expect-orders replicas=N within_ms=N — the newest orders of all zones add up to this many replicas, and no order
