--- a/src/server/adminapi.cpp
+++ b/src/server/adminapi.cpp
@@ -31,6 +31,19 @@
     return sha256Hex(given) == sha256Hex(expected);
 }
 
+/// Reads an operator's ticket. Without a number the operator decided on what this daemon holds now.
+absl::StatusOr<config::Ticket> readTicket(const std::string &body, std::uint64_t head)
+{
+    std::optional<Json> json = parseJson(body);
+    if (!json) {
+        return invalid("the ticket is not JSON");
+    }
+    if (json->is_object() && !json->contains("number")) {
+        (*json)["number"] = head + 1;
+    }
+    return config::parseTicket(*json);
+}
+
 int httpStatus(config::FilingOutcome outcome)
 {
     switch (outcome) {
@@ -123,15 +136,7 @@
 
 void AdminApi::fileTicket(const httplib::Request &request, httplib::Response &response)
 {
-    std::optional<Json> json = parseJson(request.body);
-    if (!json) {
-        return sendError(response, invalid("the ticket is not JSON"));
-    }
-    if (json->is_object() && !json->contains("number")) {
-        // Without a number the operator decided on what this daemon holds now.
-        (*json)["number"] = services_.config.current()->number() + 1;
-    }
-    const absl::StatusOr<config::Ticket> ticket = config::parseTicket(*json);
+    const absl::StatusOr<config::Ticket> ticket = readTicket(request.body, services_.config.current()->number());
     if (!ticket.ok()) {
         return sendError(response, ticket.status());
     }
@@ -141,14 +146,7 @@
 
 void AdminApi::validateTicket(const httplib::Request &request, httplib::Response &response)
 {
-    std::optional<Json> json = parseJson(request.body);
-    if (!json) {
-        return sendError(response, invalid("the ticket is not JSON"));
-    }
-    if (json->is_object() && !json->contains("number")) {
-        (*json)["number"] = services_.config.current()->number() + 1;
-    }
-    const absl::StatusOr<config::Ticket> ticket = config::parseTicket(*json);
+    const absl::StatusOr<config::Ticket> ticket = readTicket(request.body, services_.config.current()->number());
     if (!ticket.ok()) {
         return sendError(response, ticket.status());
     }
--- a/src/services/configservice.cpp
+++ b/src/services/configservice.cpp
@@ -3,12 +3,12 @@
 
 #include "core/error.h"
 #include "services/meshcalls.h"
+#include "services/ticketpusher.h"
 #include "telemetry/log.h"
 
 #include <absl/time/clock.h>
 
 #include <algorithm>
-#include <set>
 #include <utility>
 
 namespace currantlug::services {
@@ -199,14 +199,12 @@
         }
         update.tickets.push_back(*std::move(ticket));
     }
+    // Without an age the other side has no confirmation to pass on.
     if (answer.contains("age_ms")) {
         update.head = fieldOr<std::uint64_t>(answer, "head", 0);
         update.asOf = sentAt - absl::Milliseconds(fieldOr<std::int64_t>(answer, "age_ms", 0));
-        applyUpdate(update);
-    } else {
-        update.head = 0;
-        applyUpdate(update);
     }
+    applyUpdate(update);
     // After the tickets: the other side holds this list together with its head.
     if (answer.contains("members") && current()->number() >= fieldOr<std::uint64_t>(answer, "head", 0)) {
         if (const auto list = membership::MemberList::fromJson(answer["members"]); list.ok()) {
@@ -442,8 +440,11 @@
 
 config::FilingResult ConfigService::file(const Ticket &ticket)
 {
-    Members members(*this);
-    config::TicketFiler<platform::HttpObjectStore, Members> filer(store_, members, settings_.filer);
+    TicketPusher pusher(mesh_, members_, settings_.pullTimeout, [this](const Ticket &stored) {
+        applyTickets({stored});
+        return current()->number() >= stored.number;
+    });
+    config::TicketFiler<platform::HttpObjectStore, TicketPusher> filer(store_, pusher, settings_.filer);
     return filer.file(ticket, *current(), wallMs());
 }
 
@@ -496,69 +497,4 @@
     return {history_.times().begin(), history_.times().end()};
 }
 
-int ConfigService::Members::pushTicket(const Ticket &ticket, absl::Duration within)
-{
-    service_.applyTickets({ticket});
-    const MemberSnapshot members = service_.members_.snapshot();
-    const Instant deadline = monotonicNow() + within;
-    const Json body{{"ticket", config::toJson(ticket)}};
-    std::set<DaemonId> holders;
-    const auto isIn = [](const std::vector<DaemonId> &ids, const DaemonId &id) {
-        return std::find(ids.begin(), ids.end(), id) != ids.end();
-    };
-    std::vector<DaemonId> current;
-    for (const membership::Member &member : members.list.members()) {
-        current.push_back(member.id);
-    }
-    const std::vector<DaemonId> previous = members.confirmed ? current : members.list.voters();
-    const auto count = [&](const std::vector<DaemonId> &ids) {
-        return static_cast<int>(
-            std::count_if(holders.begin(), holders.end(), [&](const DaemonId &id) { return isIn(ids, id); }));
-    };
-    if (service_.current()->number() >= ticket.number) {
-        holders.insert(service_.self_);
-    }
-    for (;;) {
-        const absl::Duration left = deadline - monotonicNow();
-        const bool enough = 2 * count(current) > static_cast<int>(current.size())
-            && 2 * count(previous) > static_cast<int>(previous.size());
-        if (enough || left <= absl::ZeroDuration()) {
-            break;
-        }
-        std::vector<DaemonId> missing;
-        for (const DaemonId &id : service_.members_.others()) {
-            if (!holders.contains(id)) {
-                missing.push_back(id);
-            }
-        }
-        const absl::Duration round = std::min(left, service_.settings_.pullTimeout);
-        for (const MeshAnswer &answer : callAll(service_.mesh_, missing, "ticket_push", body, round)) {
-            const membership::Member *member = members.list.find(answer.from);
-            if (answer.body.ok() && fieldOr<std::uint64_t>(*answer.body, "head", 0) >= ticket.number
-                && (member == nullptr
-                    || fieldOr<std::string>(*answer.body, "incarnation", "") == member->incarnation)) {
-                holders.insert(answer.from);
-            }
-        }
-        if (!service_.waitFor(absl::Milliseconds(50))) {
-            break;
-        }
-    }
-    // The filer compares with one list: the one whose majority is further away.
-    const int currentMargin = 2 * count(current) - static_cast<int>(current.size());
-    const int previousMargin = 2 * count(previous) - static_cast<int>(previous.size());
-    const std::vector<DaemonId> &counted = currentMargin <= previousMargin ? current : previous;
-    size_ = static_cast<int>(counted.size());
-    return count(counted);
-}
-
-int ConfigService::Members::memberCount()
-{
-    if (size_ > 0) {
-        return size_;
-    }
-    const MemberSnapshot members = service_.members_.snapshot();
-    return members.confirmed ? static_cast<int>(members.list.members().size()) : 0;
-}
-
 } // namespace currantlug::services
--- a/src/services/configservice.h
+++ b/src/services/configservice.h
@@ -73,22 +73,6 @@
     void applyMembers(const MemberSnapshot &members);
 
 private:
-    /// TicketMembers over the mesh.
-    class Members
-    {
-    public:
-        explicit Members(ConfigService &service)
-            : service_(service)
-        {
-        }
-        int pushTicket(const config::Ticket &ticket, absl::Duration within);
-        int memberCount();
-
-    private:
-        ConfigService &service_;
-        int size_ = 0; ///< Size of the list that the last push was counted against; 0 before the first.
-    };
-
     Json handlePull(const Json &body);
     Json handlePush(const mesh::PeerInfo &from, const Json &body);
     Json handleAttest();
