--- a/src/server/callerapi.h
+++ b/src/server/callerapi.h
@@ -26,7 +26,7 @@
 {
 public:
     explicit CallerApi(CallerServices services)
-        : services_(std::move(services))
+        : services_(services)
     {
     }
 
