Name proxied links by both ports

Cause: under the thread sanitizer g06-isolated-daemon-stops saw the cut-off daemon fresh: a link was named after another connection that had the same local port, so the cut missed it. Change: the owner is looked up by local and remote port. Conclusion: the fault was in the test tool.

--- a/tests/scenario/linkproxy.cpp
+++ b/tests/scenario/linkproxy.cpp
@@ -43,11 +43,13 @@
     return address;
 }
 
-/// Inode of the socket with this local port, from /proc/net/tcp.
-std::string inodeOfPort(int port)
+/// Inode of the socket with these ports, from /proc/net/tcp.
+std::string inodeOfConnection(int localPort, int remotePort)
 {
-    char wanted[8];
-    std::snprintf(wanted, sizeof(wanted), ":%04X", port);
+    char wantedLocal[8];
+    char wantedRemote[8];
+    std::snprintf(wantedLocal, sizeof(wantedLocal), ":%04X", localPort);
+    std::snprintf(wantedRemote, sizeof(wantedRemote), ":%04X", remotePort);
     std::ifstream table("/proc/net/tcp");
     std::string line;
     std::getline(table, line);
@@ -55,14 +57,15 @@
         std::istringstream fields(line);
         std::string field;
         std::string local;
-        fields >> field >> local;
-        for (int skipped = 0; skipped < 7; ++skipped) {
+        std::string remote;
+        fields >> field >> local >> remote;
+        for (int skipped = 0; skipped < 6; ++skipped) {
             fields >> field;
         }
         std::string inode;
         fields >> inode;
         // A row without an inode is a connection in TIME_WAIT that had the same port.
-        if (local.ends_with(wanted) && inode != "0") {
+        if (local.ends_with(wantedLocal) && remote.ends_with(wantedRemote) && inode != "0") {
             return inode;
         }
     }
@@ -71,9 +74,9 @@
 
 } // namespace
 
-pid_t ownerOfPort(int port, const std::vector<pid_t> &candidates)
+pid_t ownerOfConnection(int localPort, int remotePort, const std::vector<pid_t> &candidates)
 {
-    const std::string wanted = "socket:[" + inodeOfPort(port) + "]";
+    const std::string wanted = "socket:[" + inodeOfConnection(localPort, remotePort) + "]";
     for (const pid_t pid : candidates) {
         const std::string folder = "/proc/" + std::to_string(pid) + "/fd";
         DIR *files = opendir(folder.c_str());
@@ -154,7 +157,7 @@
         auto pair = std::make_shared<Pair>();
         pair->client = client;
         pair->sourcePort = ntohs(from.sin_port);
-        pair->source = nameSource_(pair->sourcePort);
+        pair->source = nameSource_(pair->sourcePort, port_);
         pair->server = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
         const std::lock_guard lock(mutex_);
         const sockaddr_in to = loopback(target_);
@@ -216,7 +219,7 @@
         cut_.insert(source);
         for (const auto &pair : pairs_) {
             if (pair->source.empty()) {
-                pair->source = nameSource_(pair->sourcePort);
+                pair->source = nameSource_(pair->sourcePort, port_);
             }
         }
     }
--- a/tests/scenario/linkproxy.h
+++ b/tests/scenario/linkproxy.h
@@ -15,14 +15,15 @@
 
 namespace currantlug::scenario {
 
-/// The process of this list that has the TCP connection with this local port, or 0. Reads /proc.
-pid_t ownerOfPort(int port, const std::vector<pid_t> &candidates);
+/// The process of this list that has the loopback connection with these ports, or 0. Reads /proc. The local port alone
+/// does not do: connections to different listeners may share it.
+pid_t ownerOfConnection(int localPort, int remotePort, const std::vector<pid_t> &candidates);
 
 class LinkProxy
 {
 public:
-    /// Maps the source port of a new connection to a name, for cut().
-    using NameSource = std::function<std::string(int sourcePort)>;
+    /// Maps the ports of a new connection to a name, for cut().
+    using NameSource = std::function<std::string(int sourcePort, int proxyPort)>;
 
     explicit LinkProxy(NameSource nameSource);
     ~LinkProxy();
--- a/tests/scenario/site.cpp
+++ b/tests/scenario/site.cpp
@@ -64,8 +64,9 @@
         entry.name = "daemon-" + std::to_string(i);
         entry.zone = placeOf(i).zone;
         entry.region = placeOf(i).region;
-        entry.meshProxy = std::make_unique<LinkProxy>([this](int port) { return daemonOfPort(port); });
-        entry.storeProxy = std::make_unique<LinkProxy>([](int) { return "self"; });
+        entry.meshProxy =
+            std::make_unique<LinkProxy>([this](int source, int proxy) { return daemonOfConnection(source, proxy); });
+        entry.storeProxy = std::make_unique<LinkProxy>([](int, int) { return "self"; });
         entry.storeProxy->setTarget(platform_.port);
         startDaemon(i);
     }
@@ -125,14 +126,14 @@
     daemon(number).process->waitForExit(10'000);
 }
 
-std::string Site::daemonOfPort(int port)
+std::string Site::daemonOfConnection(int localPort, int remotePort)
 {
     const std::lock_guard lock(namesMutex_);
     std::vector<pid_t> pids;
     for (const auto &[pid, name] : names_) {
         pids.push_back(pid);
     }
-    const auto owner = names_.find(ownerOfPort(port, pids));
+    const auto owner = names_.find(ownerOfConnection(localPort, remotePort, pids));
     return owner == names_.end() ? "" : owner->second;
 }
 
--- a/tests/scenario/site.h
+++ b/tests/scenario/site.h
@@ -87,7 +87,7 @@
 
 private:
     StandinProcess startStandin(const std::string &program, std::vector<std::string> arguments, const std::string &log);
-    std::string daemonOfPort(int port);
+    std::string daemonOfConnection(int localPort, int remotePort);
 
     SiteSettings settings_;
     std::string logFolder_;
