Copy the own member entry only when a request is refused

Cause: every request copied this daemon's member entry under the membership lock to build an error that is rarely needed; a claim's answer was wrapped into an object only to read its text. Change: the refusal is built where there is a reason; the result is read from the array.

--- a/src/server/requestcontext.cpp
+++ b/src/server/requestcontext.cpp
@@ -19,13 +19,15 @@
 {
     // Counted before the check: a drain that closes the gate and then sees no running request has missed none.
     ++gate_.running_;
-    const std::string self = gate_.members_.self().id.str();
+    const char *reason = nullptr;
     if (gate_.closed_.load()) {
-        refusal_ = makeError(absl::StatusCode::kUnavailable, Step::ReadRequest, self, Outcome::NotRun,
-                             "this daemon is stopping; use another address");
+        reason = "this daemon is stopping; use another address";
     } else if (gate_.config_.serving() == config::Serving::Isolated) {
-        refusal_ = makeError(absl::StatusCode::kUnavailable, Step::ReadRequest, self, Outcome::NotRun,
-                             "this daemon has no fresh configuration; use another address");
+        reason = "this daemon has no fresh configuration; use another address";
+    }
+    if (reason != nullptr) {
+        refusal_ = makeError(absl::StatusCode::kUnavailable, Step::ReadRequest, gate_.members_.self().id.str(),
+                             Outcome::NotRun, reason);
     }
 }
 
--- a/src/services/claimservice.cpp
+++ b/src/services/claimservice.cpp
@@ -96,9 +96,9 @@
     if (owner && *owner != origin_.daemon) {
         const Json body{{"slot", slot}, {"ids", {id}}};
         const absl::StatusOr<Json> answer = mesh_.call(*owner, "claim", body, OwnerTimeout);
-        if (answer.ok() && answer->value("results", Json::array()).size() == 1) {
-            return parseEnum<ClaimResult>(fieldOr<std::string>(Json{{"r", (*answer)["results"][0]}}, "r", ""))
-                .value_or(ClaimResult::Unavailable);
+        const Json results = answer.ok() ? answer->value("results", Json::array()) : Json::array();
+        if (results.size() == 1 && results[0].is_string()) {
+            return parseEnum<ClaimResult>(results[0].get<std::string>()).value_or(ClaimResult::Unavailable);
         }
         if (errorContext(answer.status()).outcome != Outcome::NotRun) {
             // The owner may have appended the claim. Appending it here as well could only find it taken.
