--- /dev/null
+++ b/src/control/controller.h
@@ -0,0 +1,138 @@
+// The duties of the node that holds the controller lease: weights, replica orders, usage reports, retirements.
+#ifndef CURRANTLUG_CONTROL_CONTROLLER_H
+#define CURRANTLUG_CONTROL_CONTROLLER_H
+
+#include "control/dutyport.h"
+#include "control/leasedriver.h"
+#include "control/requestcounts.h"
+#include "control/scaleplan.h"
+#include "control/weightplan.h"
+#include "jobs/jobcontext.h"
+#include "objects/objectmirror.h"
+#include "serving/gatewayconfig.h"
+#include "serving/replicatable.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace currantlug::control {
+
+struct NamedVersion
+{
+    std::string model;
+    std::uint64_t version = 0;
+};
+
+/// Objects that operators and trainers write for the controller: their kinds and how to read them.
+struct ControlKinds
+{
+    std::string versions;
+    std::function<std::optional<NamedVersion>(const objects::StoredObject &)> parseVersion;
+    std::string retirements;
+    /// The status that tells the operator that a disk machine is empty; null if it is already told.
+    std::function<Json(const objects::StoredObject &)> retiredStatus;
+};
+
+struct ControllerSettings
+{
+    absl::Duration usageGather = absl::Milliseconds(1200); ///< After a window's end, so that late answers are counted.
+    absl::Duration usageGatherTimeout = absl::Milliseconds(700);
+    absl::Duration usageRetry = absl::Milliseconds(600);
+    int usageCatchUp = 4; ///< Windows before the present one that a new controller still reports.
+    absl::Duration scalePeriod = absl::Milliseconds(500);
+    absl::Duration targetAfter = absl::Seconds(3); ///< The first controller takes what serves then as the target.
+    absl::Duration candidateStep = absl::Milliseconds(700); ///< Nodes try for the lease one after the other.
+};
+
+struct ControllerContext
+{
+    net::Loop &loop;
+    serving::ReplicaTable &replicas;
+    objects::ObjectPort store;
+    jobs::PeerPort peers;
+    DutyPort duties;
+    ControlKinds kinds;
+    std::function<const serving::GatewayConfig *()> config;
+    /// True if a live node says that it leads.
+    std::function<bool()> otherLeads;
+    /// Place of this node among the live ones in the order of their names.
+    std::function<int()> rank;
+    std::string node;
+    RequestCounts &counts;
+    lease::LeaseSettings lease;
+    ControllerSettings settings;
+};
+
+class Controller
+{
+public:
+    explicit Controller(ControllerContext context);
+
+    /// Call several times a second.
+    void poll();
+    bool leading() const { return token_.has_value(); }
+    const std::map<std::string, std::string> &modelByReplica() const { return weights_.modelByReplica(); }
+    /// True while weights are being loaded there by this node's order.
+    bool loading(const std::string &replica) const { return weights_.loading(replica); }
+    void release();
+    /// Counts of this node for the controller of another one.
+    Json usageOf(std::uint64_t window) const;
+
+private:
+    struct WindowReport
+    {
+        WindowCounts counts;
+        int waiting = 0; ///< Answers of other nodes.
+        bool gathered = false;
+        bool frozen = false;
+        bool busy = false;
+        Instant retryAt;
+        Instant gatherUntil;
+    };
+
+    void pollLease();
+    void startLeading();
+    void stopLeading();
+    void pollWeights(Instant now);
+    void pollScale(Instant now);
+    void pollUsage(Instant now);
+    void loadTarget();
+    void loadFrozen();
+    void gather(std::uint64_t window);
+    void freeze(std::uint64_t window);
+    void sendUsage(std::uint64_t window);
+    void onRetirement(const objects::ObjectChange &change);
+    std::vector<const serving::Replica *> usable(const std::string &service) const;
+    ScalePlan::Counts servingNow() const;
+    std::optional<Holder> holder() const;
+
+    ControllerContext context_;
+    LeaseDriver lease_;
+    WeightPlan weights_;
+    ScalePlan scale_;
+    objects::ObjectMirror versions_;
+    objects::ObjectMirror retirements_;
+    std::optional<std::uint64_t> token_; ///< While this node leads.
+    Instant leadingSince_;
+    Instant noLeaderSince_; ///< The origin while another node leads.
+    Instant lastScale_;
+    bool targetLoaded_ = false;
+    bool targetLoading_ = false;
+    std::set<std::string> asking_; ///< Replicas whose report is under way.
+    bool frozenLoaded_ = false;
+    bool frozenLoading_ = false;
+    std::uint64_t frozenRevision_ = 0;
+    std::map<std::uint64_t, WindowCounts> frozen_; ///< The newest windows whose counts are fixed.
+    std::set<std::uint64_t> reported_;
+    std::map<std::uint64_t, WindowReport> reports_;
+    std::optional<std::uint64_t> firstWindow_;
+    bool freezing_ = false;
+};
+
+} // namespace currantlug::control
+
+#endif
--- /dev/null
+++ b/src/control/dutyport.h
@@ -0,0 +1,79 @@
+// Calls that only the holder of the controller lease may make. The platform folder fills them in; tests pass fakes.
+#ifndef CURRANTLUG_CONTROL_DUTYPORT_H
+#define CURRANTLUG_CONTROL_DUTYPORT_H
+
+#include "serving/replica.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace currantlug::control {
+
+/// Who sends: the receiver may check that the token never falls.
+struct Holder
+{
+    std::string node;
+    std::uint64_t fencingToken = 0;
+};
+
+/// What running requests do while weights change.
+enum class SwapMode {
+    Wait, ///< Running requests finish first.
+    Retain, ///< They go on under the new weights.
+};
+
+struct WeightOrder
+{
+    std::string replica;
+    std::string model;
+    std::uint64_t version = 0;
+    SwapMode mode = SwapMode::Retain;
+    std::uint64_t ordersSeen = 0; ///< The replica refuses if it has accepted another number of orders.
+};
+
+enum class OrderReply {
+    Started,
+    AlreadyDone,
+    Busy, ///< Another order is in progress, or another number of orders was accepted.
+    Refused, ///< Stale token, unknown version, another replica at the address.
+    Unknown, ///< May have been accepted, or may still be carried out.
+};
+
+struct ReplicaReport
+{
+    std::map<std::string, std::uint64_t> weightVersions;
+    std::uint64_t ordersAccepted = 0;
+    bool busy = false; ///< An order is being carried out.
+};
+
+struct ScaleOrder
+{
+    std::string service;
+    std::string availabilityZone;
+    int desired = 0;
+};
+
+enum class DutyReply {
+    Done,
+    Unavailable, ///< Replicas: none are to be had there now.
+    Refused,
+    Unknown,
+};
+
+struct DutyPort
+{
+    std::function<void(const serving::Replica &, const WeightOrder &, const Holder &, std::function<void(OrderReply)>)>
+        orderWeights;
+    std::function<void(const serving::Replica &, std::function<void(std::optional<ReplicaReport>)>)> report;
+    std::function<void(const ScaleOrder &, const Holder &, std::function<void(DutyReply)>)> scale;
+    std::function<void(std::uint64_t window, const std::map<std::string, std::uint64_t> &counts, const Holder &,
+                       std::function<void(DutyReply)>)>
+        reportUsage;
+};
+
+} // namespace currantlug::control
+
+#endif
--- /dev/null
+++ b/src/control/leasedriver.h
@@ -0,0 +1,45 @@
+// Keeps the controller lease in the object store from the event loop.
+#ifndef CURRANTLUG_CONTROL_LEASEDRIVER_H
+#define CURRANTLUG_CONTROL_LEASEDRIVER_H
+
+#include "lease/leasedecision.h"
+#include "net/eventloop.h"
+#include "objects/objectport.h"
+
+#include <optional>
+#include <string>
+
+namespace currantlug::control {
+
+class LeaseDriver
+{
+public:
+    LeaseDriver(net::Loop &loop, objects::ObjectPort store, std::string node, lease::LeaseSettings settings);
+
+    /// One step: renews a held lease when that is due; else, if `candidate`, reads the lease and acquires it when that
+    /// is allowed. At most one call is under way.
+    void poll(bool candidate);
+    /// Gives the lease up, so that a successor need not wait for it to lapse.
+    void release();
+
+    /// The fencing token, if this node may act now.
+    std::optional<std::uint64_t> token() const;
+    bool holds() const { return decision_.holds(); }
+
+private:
+    void read();
+    void write();
+    void observe(const objects::StoreReply &reply);
+    void logChange();
+
+    net::Loop &loop_;
+    objects::ObjectPort store_;
+    std::string node_;
+    lease::LeaseDecision decision_;
+    bool calling_ = false;
+    bool held_ = false; ///< As last logged.
+};
+
+} // namespace currantlug::control
+
+#endif
--- /dev/null
+++ b/src/control/weightplan.h
@@ -0,0 +1,73 @@
+// Which replica serves which model, and which weights to load next. No network, no clock of its own.
+//
+// Load this answers: several trainers that name a new version every few seconds, replicas that each can hold all
+// models, and a weight store that slows down when many load at once. Giving each replica one model keeps the loads at
+// one per replica and version; the replicas furthest behind load first.
+#ifndef CURRANTLUG_CONTROL_WEIGHTPLAN_H
+#define CURRANTLUG_CONTROL_WEIGHTPLAN_H
+
+#include "control/dutyport.h"
+#include "core/instant.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace currantlug::control {
+
+struct WeightPlanSettings
+{
+    int concurrentLoads = 3; ///< One more than load at full speed, since the end of a load is noticed late.
+    absl::Duration loadTimeout = absl::Seconds(4); ///< A started load without an end is looked at again.
+    absl::Duration retry = absl::Milliseconds(400);
+};
+
+class WeightPlan
+{
+public:
+    explicit WeightPlan(WeightPlanSettings settings = {})
+        : settings_(settings)
+    {
+    }
+
+    /// A trainer named a version of its model. Older ones than known are ignored.
+    void name(const std::string &model, std::uint64_t version);
+    /// Gives each usable replica of a service one of its models; keeps what was given before.
+    void assign(const std::vector<const serving::Replica *> &replicas, const std::vector<std::string> &models);
+    /// Orders to send now.
+    std::vector<WeightOrder> due(const std::vector<const serving::Replica *> &replicas, SwapMode mode, Instant now);
+
+    void replied(const WeightOrder &order, OrderReply reply, Instant now);
+    /// A replica's own report; `now` is when it came.
+    void reported(const std::string &replica, const ReplicaReport &report, Instant now);
+    /// Replicas whose state isn't clear: a load may have ended, or the number of accepted orders is unknown.
+    std::vector<std::string> toAsk(Instant now) const;
+
+    const std::map<std::string, std::string> &modelByReplica() const { return modelByReplica_; }
+    bool loading(const std::string &replica) const;
+
+private:
+    struct Load
+    {
+        WeightOrder order;
+        Instant sent;
+        bool clear = false; ///< The replica accepted it.
+    };
+    std::uint64_t versionOf(const serving::Replica &replica, const std::string &model) const;
+    std::uint64_t namedVersion(const std::string &model) const;
+
+    WeightPlanSettings settings_;
+    std::map<std::string, std::uint64_t> named_; ///< Newest version by model.
+    std::map<std::string, std::string> modelByReplica_;
+    std::map<std::string, Load> loads_; ///< Under way, by replica.
+    std::map<std::string, Instant> pausedUntil_; ///< By replica.
+    std::map<std::string, std::uint64_t> ordersSeen_; ///< Newer than the registry's, by replica.
+    std::map<std::string, std::map<std::string, std::uint64_t>> reportedVersions_; ///< Newer than the registry's.
+    std::set<std::string> unclear_; ///< Ask before the next order.
+};
+
+} // namespace currantlug::control
+
+#endif
--- /dev/null
+++ b/src/jobs/itemtracker.cpp
@@ -0,0 +1,73 @@
+// Order of sending and reuse of text.
+#include "jobs/itemtracker.h"
+
+#include <algorithm>
+#include <map>
+
+namespace currantlug::jobs {
+
+ItemTracker::ItemTracker(const JobSpec &spec)
+{
+    std::map<std::string, std::size_t> groupRank;
+    for (const ItemSpec &item : spec.items) {
+        groupRank.try_emplace(item.group, groupRank.size());
+        byId_.emplace(item.id, items_.size());
+        order_.push_back(items_.size());
+        items_.emplace_back().spec = item;
+    }
+    std::stable_sort(order_.begin(), order_.end(), [&](std::size_t a, std::size_t b) {
+        const std::size_t rankA = groupRank[items_[a].spec.group];
+        const std::size_t rankB = groupRank[items_[b].spec.group];
+        return rankA != rankB ? rankA < rankB : items_[a].spec.lengthHint > items_[b].spec.lengthHint;
+    });
+}
+
+std::optional<std::size_t> ItemTracker::find(std::string_view id) const
+{
+    const auto found = byId_.find(std::string(id));
+    return found == byId_.end() ? std::nullopt : std::optional(found->second);
+}
+
+std::vector<std::size_t> ItemTracker::sendOrder(Instant now) const
+{
+    std::vector<std::size_t> ready;
+    for (const std::size_t index : order_) {
+        const Item &item = items_[index];
+        if (item.state == ItemState::Waiting && item.notBefore <= now) {
+            ready.push_back(index);
+        }
+    }
+    return ready;
+}
+
+bool ItemTracker::reuse(std::size_t index, const ItemText &text, std::uint64_t minVersion, bool singleVersion)
+{
+    Item &item = items_[index];
+    if (item.state != ItemState::Waiting || text.events.size() <= item.text.events.size() || text.versions.empty()) {
+        return false;
+    }
+    const std::uint64_t oldest = *std::min_element(text.versions.begin(), text.versions.end());
+    if (oldest < minVersion || (singleVersion && text.versions.size() != 1)) {
+        return false;
+    }
+    item.text = text;
+    return true;
+}
+
+bool ItemTracker::groupDone(const std::string &group) const
+{
+    return std::all_of(items_.begin(), items_.end(), [&group](const Item &item) {
+        return item.spec.group != group || item.state == ItemState::Finished || item.state == ItemState::Listed;
+    });
+}
+
+void ItemTracker::markListed(std::size_t index)
+{
+    if (items_[index].state != ItemState::Listed) {
+        items_[index].state = ItemState::Listed;
+        items_[index].text = {};
+        ++listed_;
+    }
+}
+
+} // namespace currantlug::jobs
--- /dev/null
+++ b/src/jobs/job.cpp
@@ -0,0 +1,207 @@
+// The stored forms of jobs, items and results.
+#include "jobs/job.h"
+
+#include <absl/strings/escaping.h>
+
+#include <algorithm>
+#include <iterator>
+
+namespace currantlug::jobs {
+
+namespace {
+
+std::vector<std::uint64_t> numbersOf(const Json &value)
+{
+    std::vector<std::uint64_t> numbers;
+    if (value.is_array()) {
+        for (const Json &entry : value) {
+            if (entry.is_number_unsigned()) {
+                numbers.push_back(entry.get<std::uint64_t>());
+            }
+        }
+    }
+    return numbers;
+}
+
+Json fieldOrNull(const Json &value, const char *name)
+{
+    return value.is_object() && value.contains(name) ? value[name] : Json();
+}
+
+} // namespace
+
+void ItemText::addVersion(std::uint64_t version)
+{
+    if (std::find(versions.begin(), versions.end(), version) == versions.end()) {
+        versions.push_back(version);
+    }
+}
+
+std::string ItemText::joined() const
+{
+    std::string text;
+    for (std::size_t i = 0; i < events.size(); ++i) {
+        if (i > 0) {
+            text += '\n';
+        }
+        text += events[i];
+    }
+    return text;
+}
+
+Json toJson(const JobRecord &record)
+{
+    return {{"workspace", record.workspace},
+            {"host", record.host},
+            {"path", record.path},
+            {"owner", record.owner},
+            {"incarnation", record.ownerIncarnation},
+            {"submission", record.submission},
+            {"submitted_ms", record.submittedMs},
+            {"parts", record.parts},
+            {"total", record.total},
+            {"ended", record.ended}};
+}
+
+std::optional<JobRecord> parseJobRecord(std::string_view id, const Json &value)
+{
+    if (!value.is_object() || !value.contains("owner") || !value.contains("total")) {
+        return std::nullopt;
+    }
+    JobRecord record;
+    record.id = std::string(id);
+    record.workspace = fieldOr<std::string>(value, "workspace", "");
+    record.host = fieldOr<std::string>(value, "host", "");
+    record.path = fieldOr<std::string>(value, "path", "");
+    record.owner = fieldOr<std::string>(value, "owner", "");
+    record.ownerIncarnation = fieldOr<std::string>(value, "incarnation", "");
+    record.submission = fieldOr<std::string>(value, "submission", "");
+    record.submittedMs = fieldOr<std::int64_t>(value, "submitted_ms", 0);
+    record.parts = fieldOr<std::uint64_t>(value, "parts", 0);
+    record.total = fieldOr<std::uint64_t>(value, "total", 0);
+    record.ended = fieldOr<bool>(value, "ended", false);
+    return record;
+}
+
+Json toJson(const ItemSpec &item)
+{
+    Json headers = Json::array();
+    for (const net::Header &field : item.headers.fields()) {
+        headers.push_back({field.name, field.value});
+    }
+    return {{"id", item.id},
+            {"path", item.path},
+            {"headers", std::move(headers)},
+            {"body", absl::Base64Escape(item.body)},
+            {"group", item.group},
+            {"hint", item.lengthHint}};
+}
+
+std::optional<ItemSpec> parseItemSpec(const Json &value)
+{
+    ItemSpec item;
+    item.id = fieldOr<std::string>(value, "id", "");
+    item.path = fieldOr<std::string>(value, "path", "");
+    item.group = fieldOr<std::string>(value, "group", "");
+    item.lengthHint = fieldOr<double>(value, "hint", 0);
+    if (item.id.empty() || !absl::Base64Unescape(fieldOr<std::string>(value, "body", ""), &item.body)) {
+        return std::nullopt;
+    }
+    for (const Json &field : fieldOrNull(value, "headers")) {
+        if (!field.is_array() || field.size() != 2 || !field[0].is_string() || !field[1].is_string()) {
+            return std::nullopt;
+        }
+        item.headers.add(field[0].get<std::string>(), field[1].get<std::string>());
+    }
+    return item;
+}
+
+Json toJson(const ItemResult &result)
+{
+    return {{"id", result.id}, {"state", nameOf(result.state)}, {"text", result.text}, {"versions", result.versions}};
+}
+
+std::optional<ItemResult> parseItemResult(const Json &value)
+{
+    ItemResult result;
+    result.id = fieldOr<std::string>(value, "id", "");
+    const auto state = parseEnum<ResultState>(fieldOr<std::string>(value, "state", ""));
+    if (result.id.empty() || !state) {
+        return std::nullopt;
+    }
+    result.state = *state;
+    result.text = fieldOr<std::string>(value, "text", "");
+    result.versions = numbersOf(fieldOrNull(value, "versions"));
+    return result;
+}
+
+Json toJson(const ItemText &text)
+{
+    return {{"events", text.events}, {"last", text.lastEventId}, {"versions", text.versions}};
+}
+
+std::optional<ItemText> parseItemText(const Json &value)
+{
+    ItemText text;
+    text.lastEventId = fieldOr<std::uint64_t>(value, "last", 0);
+    text.versions = numbersOf(fieldOrNull(value, "versions"));
+    for (const Json &event : fieldOrNull(value, "events")) {
+        if (!event.is_string()) {
+            return std::nullopt;
+        }
+        text.events.push_back(event.get<std::string>());
+    }
+    if (text.events.empty() || text.versions.empty()) {
+        return std::nullopt;
+    }
+    return text;
+}
+
+Json toJson(const ResultPage &page)
+{
+    Json results = Json::array();
+    for (const ItemResult &result : page.results) {
+        results.push_back(toJson(result));
+    }
+    return {{"total", page.total}, {"next", page.next}, {"results", std::move(results)}};
+}
+
+std::optional<ResultPage> parseResultPage(const Json &value)
+{
+    if (!value.is_object() || !value.contains("next")) {
+        return std::nullopt;
+    }
+    ResultPage page;
+    page.total = fieldOr<std::uint64_t>(value, "total", 0);
+    page.next = fieldOr<std::uint64_t>(value, "next", 0);
+    for (const Json &entry : fieldOrNull(value, "results")) {
+        std::optional<ItemResult> result = parseItemResult(entry);
+        if (!result) {
+            return std::nullopt;
+        }
+        page.results.push_back(std::move(*result));
+    }
+    return page;
+}
+
+Json headToJson(const JobSpec &spec)
+{
+    return {{"model", spec.model},
+            {"step", spec.step},
+            {"min_version", spec.minVersion},
+            {"desired", spec.desiredGroups}};
+}
+
+bool readHead(const Json &value, JobSpec &spec)
+{
+    if (!value.is_object() || !value.contains("model")) {
+        return false;
+    }
+    spec.model = fieldOr<std::string>(value, "model", "");
+    spec.step = fieldOr<std::uint64_t>(value, "step", 0);
+    spec.minVersion = fieldOr<std::uint64_t>(value, "min_version", 0);
+    spec.desiredGroups = fieldOr<std::uint64_t>(value, "desired", 0);
+    return true;
+}
+
+} // namespace currantlug::jobs
--- /dev/null
+++ b/src/jobs/jobrunner.h
@@ -0,0 +1,78 @@
+// Runs the items of one job that this node owns and stores their results.
+#ifndef CURRANTLUG_JOBS_JOBRUNNER_H
+#define CURRANTLUG_JOBS_JOBRUNNER_H
+
+#include "jobs/itemtracker.h"
+#include "jobs/jobcontext.h"
+#include "jobs/resultlog.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace currantlug::jobs {
+
+class JobRunner : public std::enable_shared_from_this<JobRunner>
+{
+public:
+    /// `listed` is called after results became readable.
+    JobRunner(JobContext &context, JobSpec spec, std::int64_t submittedMs, ResultLog log,
+              std::function<void()> listed);
+
+    const JobSpec &spec() const { return spec_; }
+    const ResultLog &log() const { return log_; }
+    ItemTracker &tracker() { return tracker_; }
+    bool complete() const { return tracker_.allListed(); }
+    bool stopped() const { return stopped_; }
+
+    /// Sends what waits, as far as replicas have room.
+    void pump();
+    /// Looks at time limits. Call several times a second.
+    void tick();
+    /// Ends all runs; text that was generated is kept.
+    void stop(std::string_view reason);
+    /// Takes text or a whole result of an item from another job.
+    void reuseText(const std::string &itemId, const ItemText &text);
+    void reuseResult(const ItemResult &result);
+
+private:
+    void start(std::size_t index, serving::Replica &replica);
+    void onHead(std::size_t index, std::uint64_t run, const serving::ReplicaHead &head);
+    void onEvent(std::size_t index, std::uint64_t run, serving::StreamEvent event);
+    void onDone(std::size_t index, std::uint64_t run, const serving::ReplicaHead &head, const absl::Status &status);
+    /// Ends the run and lets the item wait again.
+    void requeue(std::size_t index, std::string_view reason, absl::Duration pause);
+    void leaveReplica(std::size_t index);
+    void measureGap(Item &item, Instant now);
+    void finish(std::size_t index, ResultState state);
+    void flushIfDue();
+    void flush();
+    void onFlushed(objects::StoreReply reply);
+    void onForeignSegment(objects::StoreReply reply);
+    void adopt(const Segment &segment);
+    const serving::Route *route() const;
+    std::string segmentKind() const;
+
+    JobContext &context_;
+    JobSpec spec_;
+    ItemTracker tracker_;
+    ResultLog log_;
+    std::function<void()> listed_;
+    Instant acceptedAt_;
+    absl::Duration ageAtAccept_; ///< Zero for a submission; after a takeover, by the clocks of two nodes.
+    std::uint64_t lastRun_ = 0;
+    std::map<std::uint64_t, net::CallId> calls_; ///< By run.
+    std::map<std::uint64_t, std::uint64_t> runVersion_; ///< Weight version that a run is generating with.
+    std::map<std::string, std::string> groupReplica_; ///< Where a group's prompt was last sent.
+    std::optional<Segment> writing_; ///< Being stored; kept unchanged until its fate is known.
+    Instant lastFlush_;
+    bool stopped_ = false;
+};
+
+/// Kind of the objects that hold the results of a job.
+std::string resultKind(const std::string &jobId);
+
+} // namespace currantlug::jobs
+
+#endif
--- /dev/null
+++ b/src/jobs/jobservice.h
@@ -0,0 +1,135 @@
+// Batch jobs of a node: accepts them, runs those it owns, answers reads of all, takes over those of lost nodes.
+//
+// The object store decides. Creating the job's record accepts the job and finds repeated submissions; result segments
+// are created if absent, so two nodes that both believe they own a job can't disagree on its results. Ownership only
+// keeps work from being done twice.
+#ifndef CURRANTLUG_JOBS_JOBSERVICE_H
+#define CURRANTLUG_JOBS_JOBSERVICE_H
+
+#include "jobs/jobcontext.h"
+#include "jobs/jobrunner.h"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace currantlug::jobs {
+
+enum class SubmitOutcome {
+    Accepted,
+    Refused, ///< Nothing of the job runs, now or later.
+    Unknown, ///< It may have been accepted.
+};
+
+enum class ReadOutcome {
+    Found,
+    NotFound, ///< The store says that there is no such job, or the key is another workspace's.
+    Unsure, ///< Neither the store nor the owner could be asked.
+};
+
+class JobService
+{
+public:
+    explicit JobService(JobContext context);
+
+    void submit(JobSpec spec, std::function<void(SubmitOutcome)> done);
+    using PageCallback = std::function<void(ReadOutcome, ResultPage)>;
+    /// Results from `after` on; waits up to `wait` for the first.
+    void read(const std::string &jobId, const std::string &workspace, std::uint64_t after, absl::Duration wait,
+              PageCallback done);
+    using BodyCallback = std::function<void(ReadOutcome, std::string)>;
+    void body(const std::string &jobId, const std::string &workspace, const std::string &itemId, BodyCallback done);
+    /// Found once the end is stored.
+    void end(const std::string &jobId, const std::string &workspace, std::function<void(ReadOutcome)> done);
+
+    /// Calls of other nodes: method and body as sent through PeerPort. False for an unknown method.
+    bool peerCall(const std::string &method, const Json &body, std::function<void(Json)> reply);
+
+    /// Looks at time limits. Call several times a second.
+    void tick();
+    /// Sends waiting items, after replicas or the configuration changed.
+    void pump();
+    /// Looks for jobs whose owner is gone. Call after a node was lost, left or started anew, and after the own start.
+    void scanOrphans();
+    /// Stops running items, so that other nodes take the jobs over.
+    void release();
+    std::size_t openJobs() const;
+
+private:
+    struct Submission;
+    struct Ending;
+    struct Waiter
+    {
+        std::uint64_t after = 0;
+        Instant until;
+        PageCallback done;
+    };
+    /// A job that this node owns or owned.
+    struct Owned
+    {
+        JobRecord record;
+        std::uint64_t revision = 0;
+        std::shared_ptr<JobRunner> runner;
+        std::vector<Waiter> waiters;
+        Instant dropAt;
+    };
+    /// Results of another node's job, read from the store.
+    struct Copy
+    {
+        ResultLog log;
+        Instant dropAt;
+    };
+    struct Known
+    {
+        JobRecord record;
+        std::uint64_t revision = 0;
+        Instant dropAt;
+    };
+
+    void writePart(const std::shared_ptr<Submission> &submission, std::uint64_t part);
+    void writeRecord(const std::shared_ptr<Submission> &submission);
+    void onRecord(const std::shared_ptr<Submission> &submission, objects::StoreReply reply);
+    void recheckRecord(const std::shared_ptr<Submission> &submission);
+    void finishSubmission(const std::shared_ptr<Submission> &submission, SubmitOutcome outcome);
+    void own(const JobRecord &record, std::uint64_t revision, JobSpec spec, ResultLog log);
+    void askForTexts(const std::shared_ptr<Submission> &submission);
+    Json textsFor(const Json &ids) const;
+    void applyTexts(const std::string &jobId, const Json &texts);
+
+    using RecordCallback = std::function<void(ReadOutcome, const Known *)>;
+    void withRecord(const std::string &jobId, bool fresh, RecordCallback done);
+    void readOwned(Owned &owned, std::uint64_t after, absl::Duration wait, PageCallback done);
+    void readRemote(const std::string &jobId, const std::string &workspace, std::uint64_t after, absl::Duration wait,
+                    bool fresh, PageCallback done);
+    void readStored(const JobRecord &record, std::uint64_t after, PageCallback done);
+    void serveWaiters(const std::string &jobId);
+    void bodyFromStore(const JobRecord &record, const std::string &itemId, BodyCallback done);
+    void loadParts(const JobRecord &record, std::function<void(bool, JobSpec)> done);
+    void loadPart(const JobRecord &record, std::uint64_t part, std::shared_ptr<JobSpec> spec,
+                  std::function<void(bool, JobSpec)> done);
+    void loadLog(const std::string &jobId, std::shared_ptr<ResultLog> log, std::function<void(bool)> done);
+
+    void endStored(const std::shared_ptr<Ending> &ending, bool fresh);
+    void markEnded(const std::string &jobId);
+    void announceEnd(const std::string &jobId);
+    void onScan(objects::StoreReply reply);
+    void takeOver(const JobRecord &record, std::uint64_t revision);
+    void dropOld(Instant now);
+    Instant dropTime(std::int64_t submittedMs) const;
+
+    JobContext context_;
+    absl::flat_hash_map<std::string, std::unique_ptr<Owned>> owned_;
+    absl::flat_hash_map<std::string, Known> known_; ///< Records as last read.
+    absl::flat_hash_map<std::string, Copy> copies_;
+    absl::flat_hash_map<std::string, std::shared_ptr<Submission>> submissions_; ///< Under way.
+    absl::flat_hash_map<std::string, Instant> takingOver_;
+    bool scanning_ = false;
+    bool released_ = false;
+};
+
+} // namespace currantlug::jobs
+
+#endif
--- /dev/null
+++ b/src/jobs/resultlog.cpp
@@ -0,0 +1,79 @@
+// Appending segments and cutting pages.
+#include "jobs/resultlog.h"
+
+#include <fmt/format.h>
+
+namespace currantlug::jobs {
+
+namespace {
+
+// Bytes that an encoded result has besides its text: id, state, versions and the escapes of a usual text.
+constexpr std::size_t ResultOverheadBytes = 256;
+
+} // namespace
+
+Json toJson(const Segment &segment)
+{
+    Json results = Json::array();
+    for (const ItemResult &result : segment.results) {
+        results.push_back(toJson(result));
+    }
+    return {{"nonce", segment.nonce}, {"results", std::move(results)}};
+}
+
+std::optional<Segment> parseSegment(std::uint64_t number, const Json &value)
+{
+    if (!value.is_object() || !value.contains("results")) {
+        return std::nullopt;
+    }
+    Segment segment;
+    segment.number = number;
+    segment.nonce = fieldOr<std::string>(value, "nonce", "");
+    for (const Json &entry : value["results"]) {
+        std::optional<ItemResult> result = parseItemResult(entry);
+        if (!result) {
+            return std::nullopt;
+        }
+        segment.results.push_back(std::move(*result));
+    }
+    return segment;
+}
+
+std::string segmentName(std::uint64_t number)
+{
+    return fmt::format("{:06}", number);
+}
+
+bool ResultLog::append(const Segment &segment)
+{
+    if (segment.number != nextSegment_) {
+        return false;
+    }
+    ++nextSegment_;
+    for (const ItemResult &result : segment.results) {
+        // All readers skip repeats in the same way, so that positions agree.
+        if (listed_.insert(result.id).second) {
+            results_.push_back(result);
+        }
+    }
+    return true;
+}
+
+ResultPage ResultLog::page(std::uint64_t after, std::uint64_t total, std::size_t maxBytes) const
+{
+    ResultPage page;
+    page.total = total;
+    page.next = after;
+    std::size_t bytes = 0;
+    for (std::uint64_t at = after; at < results_.size(); ++at) {
+        bytes += results_[at].text.size() + ResultOverheadBytes;
+        if (!page.results.empty() && bytes > maxBytes) {
+            break;
+        }
+        page.results.push_back(results_[at]);
+        page.next = at + 1;
+    }
+    return page;
+}
+
+} // namespace currantlug::jobs
--- /dev/null
+++ b/src/jobs/resultlog.h
@@ -0,0 +1,53 @@
+// The results of a job in the order of their positions, and the segments in which they are stored.
+//
+// A segment is one object that is created if absent under the next number, so the store orders the results: two nodes
+// that both run a job can't give one position two results, and a result is shown only once its segment is stored.
+#ifndef CURRANTLUG_JOBS_RESULTLOG_H
+#define CURRANTLUG_JOBS_RESULTLOG_H
+
+#include "jobs/job.h"
+
+#include <absl/container/flat_hash_set.h>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace currantlug::jobs {
+
+struct Segment
+{
+    std::uint64_t number = 0;
+    std::string nonce; ///< Tells the writer's own segment from another node's after a lost answer.
+    std::vector<ItemResult> results;
+};
+
+Json toJson(const Segment &segment);
+std::optional<Segment> parseSegment(std::uint64_t number, const Json &value);
+/// Names sort as the numbers do.
+std::string segmentName(std::uint64_t number);
+
+class ResultLog
+{
+public:
+    bool has(const std::string &itemId) const { return listed_.contains(itemId); }
+    std::uint64_t size() const { return results_.size(); }
+    std::uint64_t nextSegment() const { return nextSegment_; }
+    const std::vector<ItemResult> &results() const { return results_; }
+
+    /// Adds a stored segment. False if it isn't the next one: the caller has to read the ones between.
+    bool append(const Segment &segment);
+
+    /// Results from `after` on, as many as fit into `maxBytes` of text, at least one if there is one.
+    ResultPage page(std::uint64_t after, std::uint64_t total, std::size_t maxBytes) const;
+
+private:
+    std::vector<ItemResult> results_;
+    absl::flat_hash_set<std::string> listed_; ///< Ids in results_.
+    std::uint64_t nextSegment_ = 0;
+};
+
+} // namespace currantlug::jobs
+
+#endif
--- /dev/null
+++ b/src/net/clientconnection.cpp
@@ -0,0 +1,303 @@
+// Connecting, sending one request at a time and reading its answer.
+#include "net/clientconnection.h"
+
+#include <absl/strings/numbers.h>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+
+#include <algorithm>
+
+namespace currantlug::net::detail {
+
+namespace {
+
+constexpr std::size_t ReadChunkBytes = 16384;
+// Idle time of a kept connection whose peer states none.
+constexpr absl::Duration DefaultKeepAlive = absl::Seconds(4);
+// A connection isn't reused in the last part of the idle time that its peer allows.
+constexpr double KeepAliveShare = 0.7;
+
+absl::Duration keepAliveOf(const Headers &headers)
+{
+    const std::string_view field = headers.valueOr("Keep-Alive", "");
+    const std::size_t at = field.find("timeout=");
+    int seconds = 0;
+    if (at == std::string_view::npos) {
+        return DefaultKeepAlive;
+    }
+    std::string_view digits = field.substr(at + 8);
+    digits = digits.substr(0, digits.find_first_not_of("0123456789"));
+    return absl::SimpleAtoi(std::string(digits), &seconds) ? absl::Seconds(seconds) : DefaultKeepAlive;
+}
+
+} // namespace
+
+ClientConnection::ClientConnection(HttpClient &client, std::string peer)
+    : client_(&client)
+    , peer_(std::move(peer))
+    , socket_(client.loop_)
+    , timer_(client.loop_)
+{
+}
+
+void ClientConnection::start(CallId id, const HttpRequest &request, const ClientLimits &limits,
+                             ClientHandlers handlers)
+{
+    const Instant now = loopNow();
+    id_ = id;
+    limits_ = limits;
+    handlers_ = std::move(handlers);
+    response_ = {};
+    headPassed_ = false;
+    sent_ = false;
+    headRequest_ = request.method == "HEAD";
+    output_ = encodeRequest(request);
+    parser_.emplace();
+    parser_->eager(true);
+    parser_->body_limit(boost::none);
+    parser_->skip(headRequest_);
+    connectUntil_ = now + limits.connect;
+    totalUntil_ = now + limits.total;
+    silenceUntil_ = now + limits.silence;
+    if (connected_) {
+        arm(nextLimit());
+        send();
+    } else {
+        connect();
+    }
+}
+
+void ClientConnection::connect()
+{
+    const auto endpoint = parseEndpoint(peer_);
+    if (!endpoint) {
+        boost::asio::post(client_->loop_, [self = shared_from_this()] {
+            self->fail(absl::StatusCode::kInvalidArgument, Step::Connect, "not an address");
+        });
+        return;
+    }
+    ++client_->connectionsOpened_;
+    arm(nextLimit());
+    socket_.async_connect(*endpoint, [self = shared_from_this()](const boost::system::error_code &error) {
+        if (self->closed_ || self->id_ == 0) {
+            return;
+        }
+        if (error) {
+            self->fail(absl::StatusCode::kUnavailable, Step::Connect, error.message());
+            return;
+        }
+        self->connected_ = true;
+        limitSilence(self->socket_);
+        self->send();
+    });
+}
+
+void ClientConnection::send()
+{
+    sent_ = true;
+    boost::asio::async_write(socket_, boost::asio::buffer(output_),
+                             [self = shared_from_this()](const boost::system::error_code &error, std::size_t) {
+                                 // A peer may answer before it has read a long body and then close: the answer is read
+                                 // all the same, and a failed read reports the error.
+                                 static_cast<void>(error);
+                             });
+    read();
+}
+
+void ClientConnection::read()
+{
+    socket_.async_read_some(buffer_.prepare(ReadChunkBytes),
+                            [self = shared_from_this()](const boost::system::error_code &error, std::size_t bytes) {
+                                self->onRead(error, bytes);
+                            });
+}
+
+void ClientConnection::onRead(const boost::system::error_code &error, std::size_t bytes)
+{
+    if (closed_ || id_ == 0) {
+        return;
+    }
+    const CallId id = id_;
+    buffer_.commit(bytes);
+    silenceUntil_ = loopNow() + limits_.silence;
+    parse(error == boost::asio::error::eof);
+    if (closed_ || id_ != id) {
+        return;
+    }
+    if (error) {
+        fail(absl::StatusCode::kUnavailable, Step::ReadAnswer, error.message());
+        return;
+    }
+    read();
+}
+
+void ClientConnection::parse(bool endOfStream)
+{
+    boost::system::error_code error;
+    const CallId id = id_;
+    while (buffer_.size() > 0 && !parser_->is_done()) {
+        const std::size_t used = parser_->put(buffer_.data(), error);
+        buffer_.consume(used);
+        if (error && error != boost::beast::http::error::need_more) {
+            fail(absl::StatusCode::kDataLoss, Step::ReadAnswer, error.message());
+            return;
+        }
+        if (parser_->is_header_done() && !passHead()) {
+            return;
+        }
+        passBody();
+        if (closed_ || id_ != id) {
+            return;
+        }
+        if (error || used == 0) {
+            break;
+        }
+    }
+    if (endOfStream && parser_->is_header_done() && !parser_->is_done()) {
+        parser_->put_eof(error);
+    }
+    if (parser_->is_done()) {
+        complete();
+    }
+}
+
+bool ClientConnection::passHead()
+{
+    if (headPassed_) {
+        return true;
+    }
+    headPassed_ = true;
+    const auto &message = parser_->get();
+    response_.status = static_cast<int>(message.result_int());
+    for (const auto &field : message) {
+        response_.headers.add({field.name_string().data(), field.name_string().size()},
+                              {field.value().data(), field.value().size()});
+    }
+    const CallId id = id_;
+    if (handlers_.onHead && !handlers_.onHead(response_)) {
+        if (id_ == id && !closed_) {
+            drop();
+        }
+        return false;
+    }
+    return id_ == id && !closed_;
+}
+
+void ClientConnection::passBody()
+{
+    if (!headPassed_ || !handlers_.onBody || parser_->get().body().empty()) {
+        return;
+    }
+    const std::string part = std::move(parser_->get().body());
+    parser_->get().body().clear();
+    // Copied, since the handler may cancel the call and with it destroy the stored function.
+    const auto handler = handlers_.onBody;
+    handler(part);
+}
+
+void ClientConnection::complete()
+{
+    response_.body = std::move(parser_->get().body());
+    const auto done = std::move(handlers_.onDone);
+    const CallId id = id_;
+    HttpResponse response = std::move(response_);
+    const bool reuse = parser_->keep_alive() && buffer_.size() == 0 && client_ != nullptr;
+    id_ = 0;
+    handlers_ = {};
+    if (client_ != nullptr) {
+        client_->ended(id);
+    }
+    if (reuse) {
+        idleUntil_ = loopNow() + keepAliveOf(response.headers) * KeepAliveShare;
+        client_->giveBack(shared_from_this());
+    } else {
+        drop();
+    }
+    if (done) {
+        done(std::move(response));
+    }
+}
+
+void ClientConnection::fail(absl::StatusCode code, Step step, std::string_view message)
+{
+    if (id_ == 0) {
+        return;
+    }
+    const auto done = std::move(handlers_.onDone);
+    const Outcome outcome = sent_ ? Outcome::MayHaveRun : Outcome::NotRun;
+    drop();
+    if (done) {
+        done(makeError(code, step, peer_, outcome, message));
+    }
+}
+
+void ClientConnection::drop()
+{
+    if (closed_) {
+        return;
+    }
+    closed_ = true;
+    boost::system::error_code ignored;
+    timer_.cancel(ignored);
+    socket_.close(ignored);
+    const CallId id = std::exchange(id_, 0);
+    if (client_ != nullptr && id != 0) {
+        // The connection may be destroyed with its entry, so the handlers go last.
+        const auto self = shared_from_this();
+        client_->ended(id);
+    }
+    // Not destroyed here: drop() may have been called from one of them.
+    boost::asio::post(socket_.get_executor(), [handlers = std::move(handlers_)] {});
+    handlers_ = {};
+}
+
+void ClientConnection::watchIdle()
+{
+    if (watching_ || closed_) {
+        return;
+    }
+    watching_ = true;
+    socket_.async_wait(boost::asio::ip::tcp::socket::wait_read,
+                       [self = shared_from_this()](const boost::system::error_code &error) {
+                           self->watching_ = false;
+                           if (!error && self->id_ == 0) {
+                               self->drop();
+                           }
+                       });
+}
+
+Instant ClientConnection::nextLimit() const
+{
+    const Instant limit = std::min(totalUntil_, silenceUntil_);
+    return connected_ ? limit : std::min(limit, connectUntil_);
+}
+
+void ClientConnection::arm(Instant until)
+{
+    // One timer system call per call in the usual case: an armed timer that fires early looks again.
+    if (armedUntil_ <= until || until == Instant(absl::InfiniteDuration())) {
+        return;
+    }
+    armedUntil_ = until;
+    timer_.expires_after(absl::ToChronoNanoseconds(std::max(absl::ZeroDuration(), until - loopNow())));
+    timer_.async_wait([self = shared_from_this()](const boost::system::error_code &error) { self->onTimer(error); });
+}
+
+void ClientConnection::onTimer(const boost::system::error_code &error)
+{
+    if (error || closed_) {
+        return;
+    }
+    armedUntil_ = Instant(absl::InfiniteDuration());
+    if (id_ == 0) {
+        return;
+    }
+    const Instant limit = nextLimit();
+    if (loopNow() >= limit) {
+        fail(absl::StatusCode::kDeadlineExceeded, connected_ ? Step::ReadAnswer : Step::Connect, "time limit");
+    } else {
+        arm(limit);
+    }
+}
+
+} // namespace currantlug::net::detail
--- /dev/null
+++ b/src/net/clientconnection.h
@@ -0,0 +1,72 @@
+// One connection of HttpClient to a peer.
+#ifndef CURRANTLUG_NET_CLIENTCONNECTION_H
+#define CURRANTLUG_NET_CLIENTCONNECTION_H
+
+#include "net/httpclient.h"
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <optional>
+
+namespace currantlug::net::detail {
+
+class ClientConnection : public std::enable_shared_from_this<ClientConnection>
+{
+public:
+    ClientConnection(HttpClient &client, std::string peer);
+
+    void start(CallId id, const HttpRequest &request, const ClientLimits &limits, ClientHandlers handlers);
+    /// Closes without a report.
+    void drop();
+    /// Waits for the peer to close an idle connection or to send bytes that belong to no request.
+    void watchIdle();
+    bool usable(Instant now) const { return !closed_ && now < idleUntil_; }
+    void detach() { client_ = nullptr; }
+    const std::string &peer() const { return peer_; }
+
+private:
+    using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
+
+    void connect();
+    void send();
+    void read();
+    void onRead(const boost::system::error_code &error, std::size_t bytes);
+    void parse(bool endOfStream);
+    /// False if the handler gave the answer up.
+    bool passHead();
+    void passBody();
+    void complete();
+    void fail(absl::StatusCode code, Step step, std::string_view message);
+    void arm(Instant until);
+    void onTimer(const boost::system::error_code &error);
+    Instant nextLimit() const;
+
+    HttpClient *client_; ///< Null once the client is gone.
+    std::string peer_;
+    boost::asio::ip::tcp::socket socket_;
+    boost::asio::steady_timer timer_;
+    boost::beast::flat_buffer buffer_;
+    std::optional<Parser> parser_;
+    std::string output_;
+    CallId id_ = 0; ///< 0 between calls.
+    ClientLimits limits_;
+    ClientHandlers handlers_;
+    HttpResponse response_;
+    bool headPassed_ = false;
+    bool connected_ = false;
+    bool sent_ = false; ///< Bytes of the present request may have left.
+    bool closed_ = false;
+    bool watching_ = false;
+    bool headRequest_ = false;
+    Instant connectUntil_;
+    Instant totalUntil_;
+    Instant silenceUntil_;
+    Instant armedUntil_ = Instant(absl::InfiniteDuration()); ///< When the timer fires; infinite when not armed.
+    Instant idleUntil_; ///< A kept connection isn't used from here on.
+};
+
+} // namespace currantlug::net::detail
+
+#endif
--- /dev/null
+++ b/src/net/httpclient.cpp
@@ -0,0 +1,98 @@
+// The pool of kept connections.
+#include "net/httpclient.h"
+
+#include "net/clientconnection.h"
+
+#include <algorithm>
+
+namespace currantlug::net {
+
+HttpClient::~HttpClient()
+{
+    for (const auto &[id, connection] : active_) {
+        connection->detach();
+    }
+    for (const auto &[peer, connections] : idle_) {
+        for (const ConnectionPtr &connection : connections) {
+            connection->detach();
+        }
+    }
+}
+
+CallId HttpClient::call(const std::string &peer, const HttpRequest &request, const ClientLimits &limits,
+                        ClientHandlers handlers)
+{
+    const CallId id = ++lastId_;
+    ConnectionPtr connection = takeIdle(peer);
+    if (connection == nullptr) {
+        connection = std::make_shared<detail::ClientConnection>(*this, peer);
+    }
+    active_[id] = connection;
+    connection->start(id, request, limits, std::move(handlers));
+    return id;
+}
+
+void HttpClient::cancel(CallId id)
+{
+    const auto found = active_.find(id);
+    if (found != active_.end()) {
+        const ConnectionPtr connection = found->second;
+        connection->drop();
+    }
+}
+
+void HttpClient::forget(const std::string &peer)
+{
+    const auto found = idle_.find(peer);
+    if (found == idle_.end()) {
+        return;
+    }
+    const std::vector<ConnectionPtr> connections = std::move(found->second);
+    idle_.erase(found);
+    for (const ConnectionPtr &connection : connections) {
+        connection->drop();
+    }
+}
+
+HttpClient::ConnectionPtr HttpClient::takeIdle(const std::string &peer)
+{
+    const auto found = idle_.find(peer);
+    if (found == idle_.end()) {
+        return nullptr;
+    }
+    std::vector<ConnectionPtr> &connections = found->second;
+    const Instant now = loopNow();
+    ConnectionPtr taken;
+    while (!connections.empty() && taken == nullptr) {
+        ConnectionPtr candidate = std::move(connections.back());
+        connections.pop_back();
+        if (candidate->usable(now)) {
+            taken = std::move(candidate);
+        } else {
+            candidate->drop();
+        }
+    }
+    if (connections.empty()) {
+        idle_.erase(found);
+    }
+    return taken;
+}
+
+void HttpClient::giveBack(const ConnectionPtr &connection)
+{
+    std::vector<ConnectionPtr> &connections = idle_[connection->peer()];
+    const Instant now = loopNow();
+    connections.erase(std::remove_if(connections.begin(), connections.end(),
+                                     [now](const ConnectionPtr &candidate) {
+                                         if (candidate->usable(now)) {
+                                             return false;
+                                         }
+                                         candidate->drop();
+                                         return true;
+                                     }),
+                      connections.end());
+    connections.push_back(connection);
+    connection->watchIdle();
+}
+
+} // namespace currantlug::net
--- /dev/null
+++ b/src/net/httpclient.h
@@ -0,0 +1,81 @@
+// Event-driven HTTP/1.1 client with a pool of kept connections per peer.
+#ifndef CURRANTLUG_NET_HTTPCLIENT_H
+#define CURRANTLUG_NET_HTTPCLIENT_H
+
+#include "core/error.h"
+#include "net/eventloop.h"
+#include "net/httpmessage.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/status/statusor.h>
+#include <absl/time/time.h>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace currantlug::net {
+
+namespace detail {
+class ClientConnection;
+}
+
+struct ClientLimits
+{
+    absl::Duration connect = absl::Milliseconds(1000);
+    absl::Duration total = absl::Seconds(5); ///< From the call to the last byte of the answer.
+    absl::Duration silence = absl::InfiniteDuration(); ///< Between two reads of the answer.
+};
+
+/// What a call reports. Exactly one onDone() ends it; none of them is called after cancel().
+struct ClientHandlers
+{
+    /// Status and fields. Returning false gives the answer up: the connection is closed, onDone() isn't called.
+    std::function<bool(const HttpResponse &)> onHead;
+    /// Body bytes as they arrive. Where it is empty, the body is collected and passed to onDone().
+    std::function<void(std::string_view)> onBody;
+    /// OK with the answer once it is complete. The error's outcome is NotRun where no byte was sent.
+    std::function<void(absl::StatusOr<HttpResponse>)> onDone;
+};
+
+using CallId = std::uint64_t;
+
+class HttpClient
+{
+public:
+    explicit HttpClient(Loop &loop)
+        : loop_(loop)
+    {
+    }
+    ~HttpClient();
+
+    /// Sends a request to "IP:PORT". Handlers are called from the loop, never from within this function.
+    CallId call(const std::string &peer, const HttpRequest &request, const ClientLimits &limits,
+                ClientHandlers handlers);
+    /// Ends a call without a report and closes its connection. Does nothing for a call that has ended.
+    void cancel(CallId id);
+    /// Closes the idle connections to a peer.
+    void forget(const std::string &peer);
+
+    std::uint64_t connectionsOpened() const { return connectionsOpened_; }
+
+private:
+    friend class detail::ClientConnection;
+    using ConnectionPtr = std::shared_ptr<detail::ClientConnection>;
+
+    ConnectionPtr takeIdle(const std::string &peer);
+    void giveBack(const ConnectionPtr &connection);
+    void ended(CallId id) { active_.erase(id); }
+
+    Loop &loop_;
+    CallId lastId_ = 0;
+    std::uint64_t connectionsOpened_ = 0;
+    absl::flat_hash_map<CallId, ConnectionPtr> active_;
+    absl::flat_hash_map<std::string, std::vector<ConnectionPtr>> idle_; ///< Most recently used last.
+};
+
+} // namespace currantlug::net
+
+#endif
--- /dev/null
+++ b/src/net/httpserver.cpp
@@ -0,0 +1,129 @@
+// Accepting connections and passing answers to them.
+#include "net/httpserver.h"
+
+#include "core/error.h"
+#include "net/serverconnection.h"
+
+#include <boost/asio/ip/address.hpp>
+#include <fmt/format.h>
+
+namespace currantlug::net {
+
+namespace {
+
+constexpr absl::Duration SweepPeriod = absl::Milliseconds(500);
+
+} // namespace
+
+void ServerCall::respond(int status, const Headers &headers, std::string_view body)
+{
+    if (std::exchange(answered_, true)) {
+        return;
+    }
+    if (const auto connection = connection_.lock()) {
+        connection->sendWhole(status, headers, body);
+    }
+}
+
+void ServerCall::begin(int status, const Headers &headers)
+{
+    answered_ = true;
+    if (const auto connection = connection_.lock()) {
+        connection->sendHead(status, headers);
+    }
+}
+
+void ServerCall::write(std::string_view bytes)
+{
+    if (const auto connection = connection_.lock()) {
+        connection->sendPart(bytes);
+    }
+}
+
+void ServerCall::finish()
+{
+    if (const auto connection = connection_.lock()) {
+        connection->sendEnd();
+    }
+}
+
+void ServerCall::abort()
+{
+    answered_ = true;
+    gone_ = nullptr;
+    if (const auto connection = connection_.lock()) {
+        connection->close();
+    }
+}
+
+HttpServer::HttpServer(Loop &loop, Handler handler)
+    : loop_(loop)
+    , handler_(std::move(handler))
+    , acceptor_(loop)
+{
+}
+
+HttpServer::~HttpServer()
+{
+    for (const auto &connection : connections_) {
+        connection->detach();
+        connection->close();
+    }
+}
+
+absl::Status HttpServer::listen(const Endpoint &endpoint)
+{
+    boost::system::error_code error;
+    acceptor_.open(endpoint.protocol(), error);
+    if (!error) {
+        acceptor_.set_option(boost::asio::socket_base::reuse_address(true), error);
+        acceptor_.bind(endpoint, error);
+    }
+    if (!error) {
+        acceptor_.listen(boost::asio::socket_base::max_listen_connections, error);
+    }
+    if (error) {
+        return makeError(absl::StatusCode::kUnavailable, Step::Settings,
+                         fmt::format("{}:{}", endpoint.address().to_string(), endpoint.port()), Outcome::NotRun,
+                         error.message());
+    }
+    accept();
+    runEvery(loop_, SweepPeriod, [this] { sweep(); });
+    return absl::OkStatus();
+}
+
+void HttpServer::accept()
+{
+    acceptor_.async_accept([this](const boost::system::error_code &error, boost::asio::ip::tcp::socket socket) {
+        if (!acceptor_.is_open()) {
+            return;
+        }
+        if (error) {
+            // Out of descriptors, most likely: pause, so that the loop doesn't spin.
+            runAfter(loop_, absl::Milliseconds(50), [this] { accept(); });
+            return;
+        }
+        const auto connection = std::make_shared<detail::ServerConnection>(*this, std::move(socket));
+        connections_.insert(connection);
+        connection->start();
+        accept();
+    });
+}
+
+void HttpServer::stopAccepting()
+{
+    boost::system::error_code ignored;
+    acceptor_.close(ignored);
+    sweep();
+}
+
+void HttpServer::sweep()
+{
+    const Instant now = loopNow();
+    const auto connections = connections_;
+    for (const auto &connection : connections) {
+        connection->checkTime(now);
+    }
+}
+
+} // namespace currantlug::net
--- /dev/null
+++ b/src/net/httpserver.h
@@ -0,0 +1,104 @@
+// Event-driven HTTP/1.1 server. One request at a time on a connection; answers may be sent later, whole or in parts.
+#ifndef CURRANTLUG_NET_HTTPSERVER_H
+#define CURRANTLUG_NET_HTTPSERVER_H
+
+#include "net/eventloop.h"
+#include "net/httpmessage.h"
+
+#include <absl/status/status.h>
+#include <absl/time/time.h>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <set>
+
+namespace currantlug::net {
+
+namespace detail {
+class ServerConnection;
+}
+
+/// What a client may send and how long it may take.
+struct ServerLimits
+{
+    std::uint32_t headerBytes = 16384;
+    std::uint64_t bodyBytes = 32ULL << 20;
+    absl::Duration headerTimeout = absl::Seconds(10); ///< From a request's first byte to its end.
+    absl::Duration idleTimeout = absl::Seconds(60); ///< Between requests.
+};
+
+/// One request and the way to answer it. Held by shared_ptr; an answer after the client has gone is dropped.
+class ServerCall
+{
+public:
+    ServerCall(std::weak_ptr<detail::ServerConnection> connection, HttpRequest request)
+        : connection_(std::move(connection))
+        , request_(std::move(request))
+    {
+    }
+
+    const HttpRequest &request() const { return request_; }
+
+    /// The whole answer. Call once.
+    void respond(int status, const Headers &headers, std::string_view body);
+    /// Starts an answer of unknown length; write() and then finish() or abort() follow.
+    void begin(int status, const Headers &headers);
+    void write(std::string_view bytes);
+    void finish();
+    /// Closes the connection, so that what was sent doesn't look complete.
+    void abort();
+
+    bool answered() const { return answered_; }
+    /// Called when the client closes the connection before the answer is complete.
+    void onClientGone(std::function<void()> handler) { gone_ = std::move(handler); }
+
+private:
+    friend class detail::ServerConnection;
+    std::weak_ptr<detail::ServerConnection> connection_;
+    HttpRequest request_;
+    std::function<void()> gone_;
+    bool answered_ = false;
+};
+
+using ServerCallPtr = std::shared_ptr<ServerCall>;
+
+class HttpServer
+{
+public:
+    using Handler = std::function<void(ServerCallPtr)>;
+
+    HttpServer(Loop &loop, Handler handler);
+    ~HttpServer();
+
+    /// kUnavailable if the address can't be bound.
+    absl::Status listen(const Endpoint &endpoint);
+    void setLimits(const ServerLimits &limits) { limits_ = limits; }
+    const ServerLimits &limits() const { return limits_; }
+    /// From here on each answer asks its client to use another connection.
+    void startClosing() { closing_ = true; }
+    /// Stops accepting and closes connections that carry no request.
+    void stopAccepting();
+    bool closing() const { return closing_; }
+    /// Requests that were read and not yet answered.
+    std::size_t openCalls() const { return openCalls_; }
+    /// The port in use, for a server that was bound to port 0.
+    unsigned short port() const { return acceptor_.local_endpoint().port(); }
+
+private:
+    friend class detail::ServerConnection;
+    void accept();
+    void sweep();
+
+    Loop &loop_;
+    Handler handler_;
+    boost::asio::ip::tcp::acceptor acceptor_;
+    ServerLimits limits_;
+    bool closing_ = false;
+    std::size_t openCalls_ = 0;
+    std::set<std::shared_ptr<detail::ServerConnection>> connections_;
+};
+
+} // namespace currantlug::net
+
+#endif
--- /dev/null
+++ b/src/node/node.h
@@ -0,0 +1,106 @@
+// A node: contact to the others, the configuration in force, requests, jobs and, while it leads, the duties.
+#ifndef CURRANTLUG_NODE_NODE_H
+#define CURRANTLUG_NODE_NODE_H
+
+#include "control/controller.h"
+#include "jobs/jobservice.h"
+#include "node/nodesettings.h"
+#include "node/peermesh.h"
+#include "objects/objectmirror.h"
+#include "serving/requestrunner.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace currantlug::node {
+
+/// What the platform folder gives a node: calls, and how to read the platform's objects.
+struct PlatformBinding
+{
+    objects::ObjectPort store;
+    serving::ReplicaPort replicas;
+    control::DutyPort duties;
+    control::ControlKinds controlKinds;
+    std::string configKind;
+    std::string configName;
+    std::function<std::optional<serving::GatewayConfig>(const objects::StoredObject &)> parseConfig;
+    std::string replicaKind;
+    std::function<std::optional<serving::ReplicaEntry>(const objects::StoredObject &)> parseReplica;
+    /// Reads a submitted job. The error's message goes to the client.
+    std::function<absl::StatusOr<jobs::JobSpec>(const serving::InboundRequest &, const std::string &workspace)>
+        parseJob;
+};
+
+class Node
+{
+public:
+    Node(net::Loop &loop, net::HttpClient &client, NodeSettings settings, PlatformBinding binding);
+
+    void start();
+    /// Leaves the address answers, hands jobs over and lets requests finish.
+    void stop();
+    void addSeeds(const std::vector<std::string> &seeds);
+
+    bool ready() const;
+    /// Front addresses for a client, near ones first and only these where there are enough.
+    std::vector<std::string> addressesFor(const std::string &region, const std::string &availabilityZone) const;
+    absl::Duration answerTtl() const;
+    /// Limits of the configuration in force; the defaults before there is one.
+    net::ServerLimits limits() const;
+    void onConfig(std::function<void()> handler) { configHandler_ = std::move(handler); }
+
+    void handleRequest(serving::InboundRequest request, serving::AnswerSink sink);
+    /// The workspace whose key came with a call on a job, or nothing after a refusal was sent.
+    std::optional<std::string> authorizeJobCall(const serving::InboundRequest &request,
+                                                const serving::AnswerSink &sink) const;
+    jobs::JobService &jobs() { return *jobs_; }
+    PeerMesh &mesh() { return mesh_; }
+
+private:
+    NodeInfo info() const;
+    void onConfigObject(const objects::ObjectChange &change);
+    void applyConfig(const objects::StoredObject &object, std::string_view source);
+    void onReplicaObject(const objects::ObjectChange &change);
+    void onNodeObject(const objects::ObjectChange &change);
+    void registerNode();
+    bool peerCall(const std::string &method, const Json &body, std::function<void(Json)> reply);
+    void fast();
+    void slow();
+    bool storeReached() const;
+    /// Fetches configuration and replicas from a peer while the store can't be reached, or news seem to be held back.
+    void catchUp();
+    void onSnapshot(const Json &reply);
+    Json snapshot(std::uint64_t configRevision) const;
+    void forgetLostNodes();
+
+    net::Loop &loop_;
+    NodeSettings settings_;
+    PlatformBinding binding_;
+    std::string incarnation_;
+    serving::ReplicaTable replicas_;
+    control::RequestCounts counts_;
+    PeerMesh mesh_;
+    serving::RequestRunner requests_;
+    std::unique_ptr<jobs::JobService> jobs_;
+    std::unique_ptr<control::Controller> controller_;
+    objects::ObjectMirror configMirror_;
+    objects::ObjectMirror replicaMirror_;
+    objects::ObjectMirror nodeMirror_;
+    std::optional<serving::GatewayConfig> config_;
+    objects::StoredObject configObject_; ///< As stored, to pass on to other nodes.
+    std::map<std::string, objects::StoredObject> replicaObjects_; ///< As stored, by replica.
+    std::map<std::string, std::string> remotePlan_; ///< Model by replica, from the node that leads.
+    std::map<std::string, Instant> lostNodes_; ///< Registered and out of contact since.
+    std::function<void()> configHandler_;
+    bool registered_ = false;
+    bool stopping_ = false;
+    bool catchingUp_ = false;
+    Instant startedAt_;
+};
+
+} // namespace currantlug::node
+
+#endif
--- /dev/null
+++ b/src/node/peermesh.cpp
@@ -0,0 +1,361 @@
+// Questions, answers and calls between nodes: HTTP with CBOR bodies.
+#include "node/peermesh.h"
+
+#include "core/error.h"
+#include "telemetry/log.h"
+
+#include <absl/strings/match.h>
+#include <absl/strings/strip.h>
+
+#include <algorithm>
+
+namespace currantlug::node {
+
+using telemetry::Level;
+
+namespace {
+
+constexpr std::string_view PathPrefix = "/peer/";
+constexpr const char *SyncMethod = "sync";
+
+std::string toCbor(const Json &value)
+{
+    std::string bytes;
+    Json::to_cbor(value, bytes);
+    return bytes;
+}
+
+std::optional<Json> fromCbor(const std::string &bytes)
+{
+    Json value = Json::from_cbor(bytes, true, false);
+    return value.is_discarded() ? std::nullopt : std::optional(std::move(value));
+}
+
+} // namespace
+
+Json toJson(const NodeInfo &info)
+{
+    return {{"name", info.name},
+            {"incarnation", info.incarnation},
+            {"control", info.control},
+            {"front", info.front},
+            {"availability_zone", info.availabilityZone},
+            {"region", info.region},
+            {"stopping", info.stopping},
+            {"ready", info.ready},
+            {"store", info.storeReached},
+            {"leading", info.leading},
+            {"config", info.configRevision}};
+}
+
+std::optional<NodeInfo> parseNodeInfo(const Json &value)
+{
+    NodeInfo info;
+    info.name = fieldOr<std::string>(value, "name", "");
+    info.incarnation = fieldOr<std::string>(value, "incarnation", "");
+    info.control = fieldOr<std::string>(value, "control", "");
+    info.front = fieldOr<std::string>(value, "front", "");
+    info.availabilityZone = fieldOr<std::string>(value, "availability_zone", "");
+    info.region = fieldOr<std::string>(value, "region", "");
+    info.stopping = fieldOr<bool>(value, "stopping", false);
+    info.ready = fieldOr<bool>(value, "ready", false);
+    info.storeReached = fieldOr<bool>(value, "store", false);
+    info.leading = fieldOr<bool>(value, "leading", false);
+    info.configRevision = fieldOr<std::uint64_t>(value, "config", 0);
+    if (info.name.empty() || info.control.empty()) {
+        return std::nullopt;
+    }
+    return info;
+}
+
+PeerMesh::PeerMesh(net::Loop &loop, net::HttpClient &client, PeerMeshSettings settings,
+                   std::function<NodeInfo()> self)
+    : loop_(loop)
+    , client_(client)
+    , settings_(settings)
+    , self_(std::move(self))
+{
+}
+
+void PeerMesh::add(const std::string &name, const std::string &control)
+{
+    if (name == self_().name) {
+        return;
+    }
+    Peer &peer = peers_[name];
+    if (peer.control != control) {
+        peer.control = control;
+        peer.lastAnswer = Instant();
+        ask(name);
+    }
+}
+
+void PeerMesh::removeNode(const std::string &name)
+{
+    peers_.erase(name);
+}
+
+void PeerMesh::addSeed(const std::string &control)
+{
+    if (control != self_().control && std::find(seeds_.begin(), seeds_.end(), control) == seeds_.end()) {
+        seeds_.push_back(control);
+    }
+}
+
+void PeerMesh::start()
+{
+    tick();
+    net::runEvery(loop_, settings_.period, [this] { tick(); });
+}
+
+bool PeerMesh::inContact(const Peer &peer) const
+{
+    return peer.lastAnswer != Instant() && net::loopNow() - peer.lastAnswer < settings_.lostAfter;
+}
+
+void PeerMesh::tick()
+{
+    std::vector<std::string> names;
+    for (auto &[name, peer] : peers_) {
+        names.push_back(name);
+        if (peer.wasAlive && !inContact(peer)) {
+            peer.wasAlive = false;
+            telemetry::log(Level::Warning, "mesh", "node_lost", {{"node", name}});
+            lost_(name);
+        }
+    }
+    for (const std::string &name : names) {
+        ask(name);
+    }
+    const bool alone = std::none_of(peers_.begin(), peers_.end(),
+                                    [this](const auto &entry) { return inContact(entry.second); });
+    if (alone) {
+        for (const std::string &seed : seeds_) {
+            askAddress(seed, "");
+        }
+    }
+}
+
+Json PeerMesh::hello() const
+{
+    Json body{{"info", toJson(self_())}};
+    Json extra = extraSource_ ? extraSource_() : Json();
+    if (!extra.is_null()) {
+        body["extra"] = std::move(extra);
+    }
+    return body;
+}
+
+void PeerMesh::ask(const std::string &name)
+{
+    Peer &peer = peers_[name];
+    if (peer.control.empty() || std::exchange(peer.asking, true)) {
+        return;
+    }
+    askAddress(peer.control, name);
+}
+
+void PeerMesh::askAddress(const std::string &control, const std::string &name)
+{
+    net::HttpRequest request;
+    request.method = "POST";
+    request.target = std::string(PathPrefix) + SyncMethod;
+    request.headers.add("Host", control);
+    request.body = toCbor(hello());
+    net::ClientLimits limits;
+    limits.connect = settings_.timeout;
+    limits.total = settings_.timeout;
+    net::ClientHandlers handlers;
+    handlers.onDone = [this, name](absl::StatusOr<net::HttpResponse> response) {
+        const auto found = peers_.find(name);
+        if (found != peers_.end()) {
+            found->second.asking = false;
+        }
+        const auto reply = response.ok() && response->status == 200 ? fromCbor(response->body) : std::nullopt;
+        if (reply) {
+            answered(name, *reply);
+        } else if (found != peers_.end() && !response.ok()
+                   && response.status().code() == absl::StatusCode::kUnavailable
+                   && errorContext(response.status()).step == Step::Connect) {
+            // Refused: no process listens there.
+            found->second.lastAnswer = Instant();
+            if (std::exchange(found->second.wasAlive, false)) {
+                telemetry::log(Level::Warning, "mesh", "node_refuses", {{"node", name}});
+                lost_(name);
+            }
+        }
+    };
+    client_.call(control, request, limits, std::move(handlers));
+}
+
+void PeerMesh::learn(const NodeInfo &info)
+{
+    Peer &peer = peers_[info.name];
+    const bool anew = !peer.info.incarnation.empty() && peer.info.incarnation != info.incarnation;
+    const bool stops = info.stopping && !peer.info.stopping;
+    peer.control = info.control;
+    peer.info = info;
+    if (anew || stops) {
+        telemetry::log(Level::Info, "mesh", anew ? "node_restarted" : "node_stopping", {{"node", info.name}});
+        lost_(info.name);
+    }
+}
+
+void PeerMesh::answered(const std::string &name, const Json &reply)
+{
+    const auto info = reply.is_object() && reply.contains("info") ? parseNodeInfo(reply["info"]) : std::nullopt;
+    if (!info || info->name == self_().name || (!name.empty() && name != info->name)) {
+        return;
+    }
+    learn(*info);
+    Peer &peer = peers_[info->name];
+    peer.lastAnswer = net::loopNow();
+    if (!std::exchange(peer.wasAlive, true)) {
+        telemetry::log(Level::Info, "mesh", "node_found",
+                       {{"node", info->name}, {"incarnation", info->incarnation}, {"known", peers_.size()}});
+    }
+    if (reply.contains("extra") && info->leading) {
+        extraHandler_(reply["extra"]);
+    }
+    if (reply.contains("nodes") && reply["nodes"].is_object()) {
+        for (const auto &[other, control] : reply["nodes"].items()) {
+            if (control.is_string() && !peers_.contains(other)) {
+                add(other, control.get<std::string>());
+            }
+        }
+    }
+}
+
+void PeerMesh::serve(const net::ServerCallPtr &call)
+{
+    const net::HttpRequest &request = call->request();
+    const auto respond = [call](const Json &value) {
+        net::Headers headers;
+        headers.add("Content-Type", "application/cbor");
+        call->respond(200, headers, toCbor(value));
+    };
+    const auto body = fromCbor(request.body);
+    if (!absl::StartsWith(request.target, std::string(PathPrefix)) || !body) {
+        call->respond(400, {}, "not a call between nodes");
+        return;
+    }
+    const std::string method = request.target.substr(PathPrefix.size());
+    if (method != SyncMethod) {
+        if (!handler_(method, *body, respond)) {
+            call->respond(404, {}, "unknown method");
+        }
+        return;
+    }
+    const auto info = body->is_object() && body->contains("info") ? parseNodeInfo((*body)["info"]) : std::nullopt;
+    if (info && info->name != self_().name) {
+        const bool known = peers_.contains(info->name);
+        learn(*info);
+        if (!known) {
+            ask(info->name);
+        }
+        if (body->contains("extra") && info->leading) {
+            extraHandler_((*body)["extra"]);
+        }
+    }
+    Json reply = hello();
+    // Names go along only to a node that seems to have just started.
+    if (info && info->configRevision == 0) {
+        Json nodes = Json::object();
+        for (const auto &[name, peer] : peers_) {
+            nodes[name] = peer.control;
+        }
+        reply["nodes"] = std::move(nodes);
+    }
+    respond(reply);
+}
+
+void PeerMesh::call(const std::string &node, const std::string &method, Json body, absl::Duration timeout,
+                    jobs::PeerPort::Callback done)
+{
+    const auto found = peers_.find(node);
+    if (found == peers_.end() || found->second.control.empty()) {
+        boost::asio::post(loop_, [node, done = std::move(done)] {
+            done(makeError(absl::StatusCode::kUnavailable, Step::Mesh, node, Outcome::NotRun, "unknown node"));
+        });
+        return;
+    }
+    net::HttpRequest request;
+    request.method = "POST";
+    request.target = std::string(PathPrefix) + method;
+    request.headers.add("Host", found->second.control);
+    request.body = toCbor(body);
+    net::ClientLimits limits;
+    limits.connect = std::min(timeout, settings_.timeout);
+    limits.total = timeout;
+    net::ClientHandlers handlers;
+    handlers.onDone = [node, done = std::move(done)](absl::StatusOr<net::HttpResponse> response) {
+        if (!response.ok()) {
+            done(response.status());
+            return;
+        }
+        auto reply = response->status == 200 ? fromCbor(response->body) : std::nullopt;
+        if (!reply) {
+            done(makeError(absl::StatusCode::kDataLoss, Step::Mesh, node, Outcome::MayHaveRun, "unreadable answer"));
+            return;
+        }
+        done(*std::move(reply));
+    };
+    client_.call(found->second.control, request, limits, std::move(handlers));
+}
+
+std::vector<std::string> PeerMesh::live() const
+{
+    std::vector<std::string> names;
+    for (const auto &[name, peer] : peers_) {
+        if (inContact(peer) && !peer.info.stopping) {
+            names.push_back(name);
+        }
+    }
+    return names;
+}
+
+std::vector<NodeInfo> PeerMesh::contacts() const
+{
+    std::vector<NodeInfo> infos;
+    for (const auto &[name, peer] : peers_) {
+        if (inContact(peer)) {
+            infos.push_back(peer.info);
+        }
+    }
+    return infos;
+}
+
+bool PeerMesh::isAlive(const std::string &node, const std::string &incarnation) const
+{
+    const auto found = peers_.find(node);
+    return found != peers_.end() && inContact(found->second) && !found->second.info.stopping
+        && found->second.info.incarnation == incarnation;
+}
+
+bool PeerMesh::allInContact() const
+{
+    return std::all_of(peers_.begin(), peers_.end(), [this](const auto &entry) { return inContact(entry.second); });
+}
+
+std::vector<std::string> PeerMesh::outOfContact() const
+{
+    std::vector<std::string> names;
+    for (const auto &[name, peer] : peers_) {
+        if (!inContact(peer)) {
+            names.push_back(name);
+        }
+    }
+    return names;
+}
+
+std::string PeerMesh::peerWithStore() const
+{
+    for (const auto &[name, peer] : peers_) {
+        if (inContact(peer) && peer.info.storeReached) {
+            return name;
+        }
+    }
+    return {};
+}
+
+} // namespace currantlug::node
--- /dev/null
+++ b/src/serving/replicatable.h
@@ -0,0 +1,81 @@
+// The replicas known to this node and the choice among them.
+//
+// Load this answers: services with a few replicas of a few slots each, some of them dark, slow or full without a sign
+// in the registry. Choices use this node's own calls in flight, recent failures and measured event gaps; the registry
+// only says which replicas exist.
+#ifndef CURRANTLUG_SERVING_REPLICATABLE_H
+#define CURRANTLUG_SERVING_REPLICATABLE_H
+
+#include "serving/replica.h"
+
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace currantlug::serving {
+
+struct ReplicaTableSettings
+{
+    std::string availabilityZone; ///< Of this node.
+    std::string region;
+    std::map<std::string, std::string> regionOfZone;
+    /// A registry that was away may have dropped entries of live replicas; they return within two seconds.
+    absl::Duration returnGrace = absl::Milliseconds(2200);
+    absl::Duration firstAvoid = absl::Milliseconds(300); ///< After a failure; doubles with each in a row.
+    absl::Duration lastAvoid = absl::Seconds(3);
+    absl::Duration gapMemory = absl::Seconds(3); ///< A measured speed is forgotten without news, so that it is tried again.
+    absl::Duration fullAvoid = absl::Milliseconds(60); ///< After a refusal for want of room.
+};
+
+class ReplicaTable
+{
+public:
+    explicit ReplicaTable(ReplicaTableSettings settings)
+        : settings_(std::move(settings))
+    {
+    }
+
+    void update(ReplicaEntry entry);
+    /// `registryUnsteady`: the registry has just been away, so the entry may return.
+    void remove(const std::string &id, bool registryUnsteady, Instant now);
+    /// Drops removed replicas that didn't return in time.
+    void expire(Instant now);
+
+    Replica *find(const std::string &id);
+    const std::map<std::string, Replica> &all() const { return replicas_; }
+
+    /// The best replica of a service for a plain request: not draining, not in `tried`, least loaded, near. Null if
+    /// there is none. Replicas that failed recently come last.
+    Replica *chooseForRequest(std::string_view service, const std::set<std::string> &tried, Instant now);
+
+    struct ItemNeed
+    {
+        std::string service;
+        std::string model;
+        std::uint64_t minVersion = 0;
+        std::uint64_t exactVersion = 0; ///< Not 0: only this one.
+        std::string preferred; ///< Replica that has the group's prompt; may be empty.
+        const std::map<std::string, std::string> *plan = nullptr; ///< Model by replica, from the leader.
+    };
+    /// The best replica with a free slot for an item of a job; null if all are taken.
+    Replica *chooseForItem(const ItemNeed &need, const std::set<std::string> &avoid, Instant now);
+    /// Smallest smoothed event gap of the replicas that could run the need; zero if none is known.
+    absl::Duration bestEventGap(const ItemNeed &need) const;
+
+    void succeeded(Replica &replica);
+    void failed(Replica &replica, Instant now);
+    void wasFull(Replica &replica, Instant now);
+
+private:
+    int distance(const Replica &replica) const;
+    bool canRun(const Replica &replica, const ItemNeed &need) const;
+
+    ReplicaTableSettings settings_;
+    std::map<std::string, Replica> replicas_;
+};
+
+} // namespace currantlug::serving
+
+#endif
--- /dev/null
+++ b/src/serving/requestrunner.h
@@ -0,0 +1,75 @@
+// Runs clients' requests at replicas: routing, rights, attempts, hedging and time limits.
+//
+// Load this answers: a stream of small calls to plain services, of whose few replicas some are dark, slow, full or
+// leaving. A repeatable call that isn't answered after `hedgeAfter` is sent to a second replica as well; a call that
+// can't be repeated is sent on only where the first replica states that it didn't run it.
+#ifndef CURRANTLUG_SERVING_REQUESTRUNNER_H
+#define CURRANTLUG_SERVING_REQUESTRUNNER_H
+
+#include "net/eventloop.h"
+#include "serving/gatewayconfig.h"
+#include "serving/replicaport.h"
+#include "serving/replicatable.h"
+
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace currantlug::serving {
+
+struct RequestRunnerSettings
+{
+    /// A repeatable call goes to a second replica after this share of its route's target latency.
+    double hedgeShare = 0.5;
+    absl::Duration connect = absl::Milliseconds(400); ///< Several round trips between regions.
+    absl::Duration retryAfter = absl::Milliseconds(250); ///< Sent with refusals; about one avoid period of a replica.
+    absl::Duration defaultTimeout = absl::Seconds(30); ///< Where neither client nor route states one.
+    /// The final answer goes out this long before the time limit, so that it arrives within it.
+    absl::Duration answerMargin = absl::Milliseconds(20);
+};
+
+class RequestRunner
+{
+public:
+    /// Called when a replica has begun to run a request of a workspace.
+    using Began = std::function<void(const std::string &workspace)>;
+
+    RequestRunner(net::Loop &loop, ReplicaTable &replicas, ReplicaPort port, RequestRunnerSettings settings,
+                  Began began);
+
+    void run(InboundRequest request, const Route &route, const std::string &workspace, AnswerSink sink);
+
+private:
+    struct Run;
+    struct Attempt
+    {
+        std::string replica;
+        net::CallId call = 0;
+        bool open = true;
+        bool began = false;
+    };
+    using RunPtr = std::shared_ptr<Run>;
+
+    void launch(const RunPtr &run);
+    void onHead(const RunPtr &run, std::size_t index, const ReplicaHead &head, const net::HttpResponse &response);
+    void onDone(const RunPtr &run, std::size_t index, const ReplicaHead &head,
+                absl::StatusOr<net::HttpResponse> response);
+    void scheduleHedge(const RunPtr &run);
+    void attemptFailed(const RunPtr &run, bool notRun, bool full);
+    void deliver(const RunPtr &run, const ReplicaHead &head, const net::HttpResponse &response);
+    void timeUp(const RunPtr &run);
+    void end(const RunPtr &run, std::string_view outcome, int status);
+    void release(const RunPtr &run, std::size_t index);
+    bool mayTryAgain(const Run &run) const;
+
+    net::Loop &loop_;
+    ReplicaTable &replicas_;
+    ReplicaPort port_;
+    RequestRunnerSettings settings_;
+    Began began_;
+};
+
+} // namespace currantlug::serving
+
+#endif
