Take the number of accepted orders from replicas' reports only

The `seq` of a registration counts heartbeats, the `seq` of a report counts orders; the larger of the two was sent as precondition. Change: a replica starts at 0 accepted orders, a report corrects it, a new incarnation resets it.

--- a/src/control/weightplan.cpp
+++ b/src/control/weightplan.cpp
@@ -93,10 +93,23 @@
     return loads_.contains(replica);
 }
 
+void WeightPlan::forgetFormerIncarnation(const serving::ReplicaEntry &entry)
+{
+    std::int64_t &born = born_[entry.id];
+    if (born != entry.bornMs) {
+        born = entry.bornMs;
+        loads_.erase(entry.id);
+        unclear_.erase(entry.id);
+        ordersSeen_.erase(entry.id);
+        reportedVersions_.erase(entry.id);
+    }
+}
+
 std::vector<WeightOrder> WeightPlan::due(const std::vector<const serving::Replica *> &replicas, SwapMode mode,
                                          Instant now)
 {
     for (const serving::Replica *replica : replicas) {
+        forgetFormerIncarnation(replica->entry);
         const auto load = loads_.find(replica->entry.id);
         if (load != loads_.end()
             && versionOf(*replica, load->second.order.model) >= load->second.order.version) {
@@ -147,7 +160,7 @@
         order.model = modelByReplica_[entry.id];
         order.version = namedVersion(order.model);
         order.mode = mode;
-        order.ordersSeen = std::max(entry.ordersAccepted, ordersSeen_[entry.id]);
+        order.ordersSeen = ordersSeen_[entry.id];
         loads_[entry.id] = {order, now, false};
         orders.push_back(order);
     }
--- a/src/control/weightplan.h
+++ b/src/control/weightplan.h
@@ -55,6 +55,8 @@
         Instant sent;
         bool clear = false; ///< The replica accepted it.
     };
+    /// A replica that started anew has accepted no orders.
+    void forgetFormerIncarnation(const serving::ReplicaEntry &entry);
     std::uint64_t versionOf(const serving::Replica &replica, const std::string &model) const;
     std::uint64_t namedVersion(const std::string &model) const;
 
@@ -63,7 +65,8 @@
     std::map<std::string, std::string> modelByReplica_;
     std::map<std::string, Load> loads_; ///< Under way, by replica.
     std::map<std::string, Instant> pausedUntil_; ///< By replica.
-    std::map<std::string, std::uint64_t> ordersSeen_; ///< Newer than the registry's, by replica.
+    std::map<std::string, std::uint64_t> ordersSeen_; ///< Orders that a replica has accepted since its start.
+    std::map<std::string, std::int64_t> born_; ///< Incarnation that the other maps speak of, by replica.
     std::map<std::string, std::map<std::string, std::uint64_t>> reportedVersions_; ///< Newer than the registry's.
     std::set<std::string> unclear_; ///< Ask before the next order.
 };
--- a/src/serving/replica.h
+++ b/src/serving/replica.h
@@ -24,7 +24,6 @@
     bool draining = false;
     bool spot = false; ///< May be reclaimed at short notice.
     std::int64_t bornMs = 0; ///< Start of this incarnation, Unix time. An id may be used again by a later one.
-    std::uint64_t ordersAccepted = 0;
     std::map<std::string, std::uint64_t> weightVersions; ///< By model.
 };
 
