--- a/src/jobs/jobservice.cpp
+++ b/src/jobs/jobservice.cpp
@@ -28,6 +28,16 @@
 constexpr int EndAnnouncements = 5;
 constexpr absl::Duration AnnouncePause = absl::Milliseconds(400);
 
+void logReadFailure(const std::string &jobId, std::string_view what, const StoreReply &reply)
+{
+    telemetry::log(Level::Warning, "job", "read_failed",
+                   {{"job", jobId},
+                    {"what", what},
+                    {"outcome", nameOf(reply.outcome)},
+                    {"http_status", reply.httpStatus},
+                    {"objects", reply.changes.size()}});
+}
+
 std::string partName(const std::string &jobId, std::uint64_t part)
 {
     return absl::StrCat(jobId, ".", part);
@@ -457,6 +467,7 @@
             return;
         }
         if (reply.outcome != StoreOutcome::Done) {
+            logReadFailure(jobId, "results", reply);
             done(false);
             return;
         }
@@ -538,12 +549,14 @@
                           std::function<void(bool, JobSpec)> done)
 {
     if (part == record.parts) {
-        done(spec->items.size() == record.total, std::move(*spec));
+        const bool whole = spec->items.size() == record.total;
+        done(whole, std::move(*spec));
         return;
     }
     context_.store.get(PartKind, partName(record.id, part),
                        [this, record, part, spec, done = std::move(done)](StoreReply reply) {
                            if (reply.outcome != StoreOutcome::Done || reply.changes.empty()) {
+                               logReadFailure(record.id, "items", reply);
                                done(false, {});
                                return;
                            }
