Load weights after the rush, cut streams instead of pausing them, send the longest items first

An owner that the store turned away for 8 s could store nothing. Change: replicas one version behind load 1.5 s after the naming, one in three of a model at a time; loads truncate streams, which go on elsewhere from their last event; items go by length hint over the whole step; store calls of jobs go through a peer while the store refuses this node; requests that fail together count as one failure.

--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -33,7 +33,7 @@
                     if (!change.removed && named) {
                         telemetry::log(Level::Info, "weights", "named",
                                        {{"model", named->model}, {"version", named->version}});
-                        weights_.name(named->model, named->version);
+                        weights_.name(named->model, named->version, net::loopNow());
                         if (token_) {
                             pollWeights(net::loopNow());
                         }
@@ -141,7 +141,7 @@
                 && std::any_of(route.services.begin(), route.services.end(),
                                [&](const serving::WeightedService &choice) { return choice.service == name; });
         });
-        for (const WeightOrder &order : weights_.due(replicas, single ? SwapMode::Wait : SwapMode::Retain, now)) {
+        for (const WeightOrder &order : weights_.due(replicas, single ? SwapMode::Wait : SwapMode::Truncate, now)) {
             const auto holder = this->holder();
             serving::Replica *replica = context_.replicas.find(order.replica);
             if (!holder || replica == nullptr) {
--- a/src/control/dutyport.h
+++ b/src/control/dutyport.h
@@ -22,7 +22,7 @@
 /// What running requests do while weights change.
 enum class SwapMode {
     Wait, ///< Running requests finish first.
-    Retain, ///< They go on under the new weights.
+    Truncate, ///< Their streams are reset; they go on elsewhere from their last event.
 };
 
 struct WeightOrder
@@ -30,7 +30,7 @@
     std::string replica;
     std::string model;
     std::uint64_t version = 0;
-    SwapMode mode = SwapMode::Retain;
+    SwapMode mode = SwapMode::Truncate;
     std::uint64_t ordersSeen = 0; ///< The replica refuses if it has accepted another number of orders.
 };
 
--- a/src/control/weightplan.cpp
+++ b/src/control/weightplan.cpp
@@ -13,16 +13,18 @@
 
 } // namespace
 
-void WeightPlan::name(const std::string &model, std::uint64_t version)
+void WeightPlan::name(const std::string &model, std::uint64_t version, Instant now)
 {
-    std::uint64_t &named = named_[model];
-    named = std::max(named, version);
+    Named &named = named_[model];
+    if (version > named.version) {
+        named = {version, now};
+    }
 }
 
 std::uint64_t WeightPlan::namedVersion(const std::string &model) const
 {
     const auto found = named_.find(model);
-    return found == named_.end() ? 0 : found->second;
+    return found == named_.end() ? 0 : found->second.version;
 }
 
 std::uint64_t WeightPlan::versionOf(const serving::Replica &replica, const std::string &model) const
@@ -44,6 +46,12 @@
     if (models.empty()) {
         return;
     }
+    std::erase_if(modelByReplica_, [&replicas, &models](const auto &given) {
+        const bool ours = std::find(models.begin(), models.end(), given.second) != models.end();
+        return ours && std::none_of(replicas.begin(), replicas.end(), [&given](const serving::Replica *replica) {
+                   return replica->entry.id == given.first;
+               });
+    });
     std::map<std::string, int> count;
     for (const std::string &model : models) {
         count[model] = 0;
@@ -142,19 +150,32 @@
         }
         const std::uint64_t named = namedVersion(model->second);
         const std::uint64_t held = versionOf(*replica, model->second);
-        if (named > held && named > 1) {
+        const bool early = named == held + 1 && now - named_[model->second].at < settings_.settle;
+        if (named > held && named > 1 && !early) {
             candidates.push_back({replica, named - held});
         }
     }
     std::stable_sort(candidates.begin(), candidates.end(), [](const Candidate &a, const Candidate &b) {
         return std::tuple(b.behind, a.replica->inFlight) < std::tuple(a.behind, b.replica->inFlight);
     });
+    std::map<std::string, int> loadingByModel;
+    for (const auto &[id, load] : loads_) {
+        ++loadingByModel[load.order.model];
+    }
     std::vector<WeightOrder> orders;
     for (const Candidate &candidate : candidates) {
         if (static_cast<int>(loads_.size()) >= settings_.concurrentLoads) {
             break;
         }
         const serving::ReplicaEntry &entry = candidate.replica->entry;
+        const std::string &model = modelByReplica_[entry.id];
+        const auto serving = std::count_if(modelByReplica_.begin(), modelByReplica_.end(),
+                                           [&model](const auto &given) { return given.second == model; });
+        const int most = std::max(1, static_cast<int>(serving) / settings_.sharePerModel);
+        if (candidate.behind == 1 && loadingByModel[model] >= most) {
+            continue;
+        }
+        ++loadingByModel[model];
         WeightOrder order;
         order.replica = entry.id;
         order.model = modelByReplica_[entry.id];
--- a/src/control/weightplan.h
+++ b/src/control/weightplan.h
@@ -2,7 +2,8 @@
 //
 // Load this answers: several trainers that name a new version every few seconds, replicas that each can hold all
 // models, and a weight store that slows down when many load at once. Giving each replica one model keeps the loads at
-// one per replica and version; the replicas furthest behind load first.
+// one per replica and version. A step may still use the weights before its own, so a replica that is one version behind
+// serves the rush at the start of a step first and loads later, while one that is further behind loads at once.
 #ifndef CURRANTLUG_CONTROL_WEIGHTPLAN_H
 #define CURRANTLUG_CONTROL_WEIGHTPLAN_H
 
@@ -20,6 +21,9 @@
 struct WeightPlanSettings
 {
     int concurrentLoads = 3; ///< One more than load at full speed, since the end of a load is noticed late.
+    /// A replica one version behind loads this long after the naming: most items of a step are done by then.
+    absl::Duration settle = absl::Milliseconds(1500);
+    int sharePerModel = 3; ///< Of the replicas of a model, one in so many loads at a time for one version behind.
     absl::Duration loadTimeout = absl::Seconds(4); ///< A started load without an end is looked at again.
     absl::Duration retry = absl::Milliseconds(400);
 };
@@ -33,7 +37,7 @@
     }
 
     /// A trainer named a version of its model. Older ones than known are ignored.
-    void name(const std::string &model, std::uint64_t version);
+    void name(const std::string &model, std::uint64_t version, Instant now);
     /// Gives each usable replica of a service one of its models; keeps what was given before.
     void assign(const std::vector<const serving::Replica *> &replicas, const std::vector<std::string> &models);
     /// Orders to send now.
@@ -61,7 +65,12 @@
     std::uint64_t namedVersion(const std::string &model) const;
 
     WeightPlanSettings settings_;
-    std::map<std::string, std::uint64_t> named_; ///< Newest version by model.
+    struct Named
+    {
+        std::uint64_t version = 0;
+        Instant at;
+    };
+    std::map<std::string, Named> named_; ///< Newest version by model.
     std::map<std::string, std::string> modelByReplica_;
     std::map<std::string, Load> loads_; ///< Under way, by replica.
     std::map<std::string, Instant> pausedUntil_; ///< By replica.
--- a/src/jobs/itemtracker.cpp
+++ b/src/jobs/itemtracker.cpp
@@ -2,23 +2,18 @@
 #include "jobs/itemtracker.h"
 
 #include <algorithm>
-#include <map>
 
 namespace currantlug::jobs {
 
 ItemTracker::ItemTracker(const JobSpec &spec)
 {
-    std::map<std::string, std::size_t> groupRank;
     for (const ItemSpec &item : spec.items) {
-        groupRank.try_emplace(item.group, groupRank.size());
         byId_.emplace(item.id, items_.size());
         order_.push_back(items_.size());
         items_.emplace_back().spec = item;
     }
     std::stable_sort(order_.begin(), order_.end(), [&](std::size_t a, std::size_t b) {
-        const std::size_t rankA = groupRank[items_[a].spec.group];
-        const std::size_t rankB = groupRank[items_[b].spec.group];
-        return rankA != rankB ? rankA < rankB : items_[a].spec.lengthHint > items_[b].spec.lengthHint;
+        return items_[a].spec.lengthHint > items_[b].spec.lengthHint;
     });
 }
 
@@ -31,12 +26,14 @@
 std::vector<std::size_t> ItemTracker::sendOrder(Instant now) const
 {
     std::vector<std::size_t> ready;
+    std::vector<std::size_t> fresh;
     for (const std::size_t index : order_) {
         const Item &item = items_[index];
         if (item.state == ItemState::Waiting && item.notBefore <= now) {
-            ready.push_back(index);
+            (item.text.empty() ? fresh : ready).push_back(index);
         }
     }
+    ready.insert(ready.end(), fresh.begin(), fresh.end());
     return ready;
 }
 
--- a/src/jobs/itemtracker.h
+++ b/src/jobs/itemtracker.h
@@ -53,8 +53,8 @@
     /// Index of an item; nullopt for an unknown id.
     std::optional<std::size_t> find(std::string_view id) const;
 
-    /// Waiting items that may be sent, in the order in which to send them: groups in the trainer's order, and within a
-    /// group the longest first.
+    /// Waiting items that may be sent, in the order in which to send them: begun ones, then the longest first. A step
+    /// needs nearly all of its groups, so it ends with its longest item.
     std::vector<std::size_t> sendOrder(Instant now) const;
 
     /// Uses text of an earlier job if the versions that made it fit this one. Returns whether it was taken.
--- a/src/jobs/jobrunner.cpp
+++ b/src/jobs/jobrunner.cpp
@@ -265,7 +265,8 @@
         requeue(index, status.ok() ? "answer to another request" : describeError(status), absl::ZeroDuration());
     } else if (head.notRun) {
         if (replica != nullptr) {
-            head.otherInstance ? context_.replicas.failed(*replica, now) : context_.replicas.wasFull(*replica, now);
+            head.otherInstance ? context_.replicas.failed(*replica, now)
+                               : context_.replicas.refused(*replica, head.load, now);
         }
         requeue(index, "not run", VersionPause);
     } else if (head.status == 200 && !item.text.empty()) {
--- a/src/jobs/jobservice.cpp
+++ b/src/jobs/jobservice.cpp
@@ -774,11 +774,16 @@
             continue;
         }
         const bool mine = record->owner == context_.node && record->ownerIncarnation == context_.incarnation;
-        if (record->ended || mine || owned_.contains(record->id)
+        if (record->ended || owned_.contains(record->id) || submissions_.contains(record->id)
             || context_.peers.isAlive(record->owner, record->ownerIncarnation)) {
             continue;
         }
         std::string winner = context_.node;
+        if (mine) {
+            // A take-over whose answer was lost.
+            takeOver(*record, change.object.revision);
+            continue;
+        }
         for (const std::string &node : context_.peers.live()) {
             if (rendezvousWeight(record->id, node) > rendezvousWeight(record->id, winner)) {
                 winner = node;
@@ -809,9 +814,7 @@
     context_.store.replace(RecordKind, record.id, revision, toJson(mine), [this, mine](const StoreReply &reply) {
         if (reply.outcome != StoreOutcome::Done || reply.changes.empty()) {
             takingOver_.erase(mine.id);
-            if (reply.outcome != StoreOutcome::Conflict) {
-                net::runAfter(context_.loop, context_.settings.storeRetry, [this] { scanOrphans(); });
-            }
+            net::runAfter(context_.loop, context_.settings.storeRetry, [this] { scanOrphans(); });
             return;
         }
         const std::uint64_t owned = reply.changes.front().object.revision;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -27,6 +27,8 @@
 // Registrations of nodes that nobody reaches for this long are removed.
 constexpr absl::Duration ForgetAfter = absl::Seconds(30);
 constexpr absl::Duration SnapshotTimeout = absl::Milliseconds(800);
+constexpr absl::Duration RelayTimeout = absl::Milliseconds(2500); // A store call's own limit and the way between.
+constexpr absl::Duration DirectPause = absl::Seconds(2); // Before the store is asked directly again after a failure.
 constexpr absl::Duration AnswerTtl = absl::Seconds(1);
 constexpr std::size_t EnoughAddresses = 2; // A client whose address fails needs another one.
 constexpr std::size_t MaxAddresses = 64;
@@ -54,6 +56,31 @@
     return object;
 }
 
+Json encodeReply(const StoreReply &reply)
+{
+    Json changes = Json::array();
+    for (const ObjectChange &change : reply.changes) {
+        changes.push_back(toJson(change.object));
+    }
+    return {{"outcome", nameOf(reply.outcome)}, {"as_of", reply.asOf}, {"more", reply.more}, {"changes", changes}};
+}
+
+std::optional<StoreReply> parseReply(const Json &value)
+{
+    const auto outcome = parseEnum<StoreOutcome>(fieldOr<std::string>(value, "outcome", ""));
+    if (!outcome) {
+        return std::nullopt;
+    }
+    StoreReply reply;
+    reply.outcome = *outcome;
+    reply.asOf = fieldOr<std::uint64_t>(value, "as_of", 0);
+    reply.more = fieldOr<bool>(value, "more", false);
+    for (const Json &change : value.contains("changes") ? value["changes"] : Json::array()) {
+        reply.changes.push_back({parseObject(change), false});
+    }
+    return reply;
+}
+
 serving::ReplicaTableSettings tableSettings(const NodeSettings &settings)
 {
     serving::ReplicaTableSettings table;
@@ -106,7 +133,7 @@
     jobs::JobSettings jobSettings;
     jobSettings.keep = settings_.statusTime;
     jobs_ = std::make_unique<jobs::JobService>(jobs::JobContext{
-        loop, replicas_, binding_.replicas, binding_.store, peers, config,
+        loop, replicas_, binding_.replicas, relayedStore(), peers, config,
         [this]() -> const std::map<std::string, std::string> & {
             return controller_->leading() ? controller_->modelByReplica() : remotePlan_;
         },
@@ -448,7 +475,7 @@
         serving::refuse(sink, 400, std::string(spec.status().message()), absl::ZeroDuration());
         return;
     }
-    if (!storeReached()) {
+    if (!storeReached() && mesh_.peerWithStore().empty()) {
         serving::refuse(sink, 503, "the object store is away", RefusalRetryAfter);
         return;
     }
@@ -467,6 +494,75 @@
     });
 }
 
+// Store calls through other nodes
+
+void Node::relay(Json call, std::function<void(const objects::StoreCallback &)> direct, objects::StoreCallback done)
+{
+    const auto throughPeer = [this, call](const std::string &peer, StoreOutcome before, objects::StoreCallback then) {
+        mesh_.call(peer, "store/call", call, RelayTimeout,
+                   [before, then = std::move(then)](const absl::StatusOr<Json> &reply) {
+                       const auto decoded = reply.ok() ? parseReply(*reply) : std::nullopt;
+                       if (decoded) {
+                           then(*decoded);
+                           return;
+                       }
+                       const bool untouched = before == StoreOutcome::Refused && !reply.ok()
+                           && errorContext(reply.status()).outcome == Outcome::NotRun;
+                       StoreReply failed;
+                       failed.outcome = untouched ? StoreOutcome::Refused : StoreOutcome::Unknown;
+                       then(failed);
+                   });
+    };
+    const std::string peer = mesh_.peerWithStore();
+    if (!peer.empty() && (!storeReached() || net::loopNow() < directAgainAt_)) {
+        throughPeer(peer, StoreOutcome::Refused, std::move(done));
+        return;
+    }
+    direct([this, throughPeer, done = std::move(done)](const StoreReply &reply) {
+        const bool failed = reply.outcome == StoreOutcome::Refused || reply.outcome == StoreOutcome::Unknown;
+        const std::string other = failed ? mesh_.peerWithStore() : std::string();
+        if (other.empty()) {
+            done(reply);
+            return;
+        }
+        directAgainAt_ = net::loopNow() + DirectPause;
+        throughPeer(other, reply.outcome, done);
+    });
+}
+
+objects::ObjectPort Node::relayedStore()
+{
+    const objects::ObjectPort direct = binding_.store;
+    objects::ObjectPort port = direct;
+    port.get = [this, direct](const std::string &kind, const std::string &name, objects::StoreCallback done) {
+        relay({{"op", "get"}, {"kind", kind}, {"name", name}},
+              [direct, kind, name](const objects::StoreCallback &then) { direct.get(kind, name, then); },
+              std::move(done));
+    };
+    port.list = [this, direct](const std::string &kind, const std::string &after, objects::StoreCallback done) {
+        relay({{"op", "list"}, {"kind", kind}, {"name", after}},
+              [direct, kind, after](const objects::StoreCallback &then) { direct.list(kind, after, then); },
+              std::move(done));
+    };
+    port.create = [this, direct](const std::string &kind, const std::string &name, const Json &value,
+                                 objects::StoreCallback done) {
+        relay({{"op", "create"}, {"kind", kind}, {"name", name}, {"value", value}},
+              [direct, kind, name, value](const objects::StoreCallback &then) {
+                  direct.create(kind, name, value, then);
+              },
+              std::move(done));
+    };
+    port.replace = [this, direct](const std::string &kind, const std::string &name, std::uint64_t revision,
+                                  const Json &value, objects::StoreCallback done) {
+        relay({{"op", "replace"}, {"kind", kind}, {"name", name}, {"revision", revision}, {"value", value}},
+              [direct, kind, name, revision, value](const objects::StoreCallback &then) {
+                  direct.replace(kind, name, revision, value, then);
+              },
+              std::move(done));
+    };
+    return port;
+}
+
 // Other nodes
 
 bool Node::peerCall(const std::string &method, const Json &body, std::function<void(Json)> reply)
@@ -479,6 +575,25 @@
         reply(snapshot(fieldOr<std::uint64_t>(body, "config", 0)));
         return true;
     }
+    if (method == "store/call") {
+        const auto done = [reply = std::move(reply)](const StoreReply &result) { reply(encodeReply(result)); };
+        const std::string op = fieldOr<std::string>(body, "op", "");
+        const std::string kind = fieldOr<std::string>(body, "kind", "");
+        const std::string name = fieldOr<std::string>(body, "name", "");
+        const Json value = body.contains("value") ? body["value"] : Json();
+        if (op == "get") {
+            binding_.store.get(kind, name, done);
+        } else if (op == "list") {
+            binding_.store.list(kind, name, done);
+        } else if (op == "create") {
+            binding_.store.create(kind, name, value, done);
+        } else if (op == "replace") {
+            binding_.store.replace(kind, name, fieldOr<std::uint64_t>(body, "revision", 0), value, done);
+        } else {
+            return false;
+        }
+        return true;
+    }
     return jobs_->peerCall(method, body, std::move(reply));
 }
 
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -66,6 +66,9 @@
     void onReplicaObject(const objects::ObjectChange &change);
     void onNodeObject(const objects::ObjectChange &change);
     void registerNode();
+    /// The object store for jobs: calls go through another node while the store turns this one away.
+    objects::ObjectPort relayedStore();
+    void relay(Json call, std::function<void(const objects::StoreCallback &)> direct, objects::StoreCallback done);
     bool peerCall(const std::string &method, const Json &body, std::function<void(Json)> reply);
     void fast();
     void slow();
@@ -98,6 +101,7 @@
     bool registered_ = false;
     bool stopping_ = false;
     bool catchingUp_ = false;
+    Instant directAgainAt_; ///< Store calls go through another node until then.
     Instant startedAt_;
 };
 
--- a/src/serving/replicatable.cpp
+++ b/src/serving/replicatable.cpp
@@ -146,15 +146,19 @@
 
 void ReplicaTable::failed(Replica &replica, Instant now)
 {
+    if (replica.avoidUntil > now) {
+        return; // Requests that fail together are one failure.
+    }
     const absl::Duration avoid
         = std::min(settings_.lastAvoid, settings_.firstAvoid * (1 << std::min(replica.failures, 6)));
     ++replica.failures;
     replica.avoidUntil = now + avoid;
 }
 
-void ReplicaTable::wasFull(Replica &replica, Instant now)
+void ReplicaTable::refused(Replica &replica, const std::optional<ReplicaLoad> &load, Instant now)
 {
-    replica.avoidUntil = std::max(replica.avoidUntil, now + settings_.fullAvoid);
+    const bool full = !load || load->waiting > 0 || load->running >= load->slots;
+    replica.avoidUntil = std::max(replica.avoidUntil, now + (full ? settings_.fullAvoid : settings_.loadingAvoid));
 }
 
 } // namespace currantlug::serving
--- a/src/serving/replicatable.h
+++ b/src/serving/replicatable.h
@@ -27,6 +27,7 @@
     absl::Duration lastAvoid = absl::Seconds(3);
     absl::Duration gapMemory = absl::Seconds(3); ///< A measured speed is forgotten without news, so that it is tried again.
     absl::Duration fullAvoid = absl::Milliseconds(60); ///< After a refusal for want of room.
+    absl::Duration loadingAvoid = absl::Milliseconds(250); ///< After a refusal with room left: weights are being loaded.
 };
 
 class ReplicaTable
@@ -66,7 +67,8 @@
 
     void succeeded(Replica &replica);
     void failed(Replica &replica, Instant now);
-    void wasFull(Replica &replica, Instant now);
+    /// The replica refused a request without running it.
+    void refused(Replica &replica, const std::optional<ReplicaLoad> &load, Instant now);
 
 private:
     int distance(const Replica &replica) const;
--- a/src/serving/requestrunner.cpp
+++ b/src/serving/requestrunner.cpp
@@ -213,7 +213,7 @@
     }
     if (head.notRun) {
         if (replica != nullptr) {
-            head.otherInstance ? replicas_.failed(*replica, now) : replicas_.wasFull(*replica, now);
+            head.otherInstance ? replicas_.failed(*replica, now) : replicas_.refused(*replica, head.load, now);
         }
         attemptFailed(run, true, true);
         return;
