Tell all nodes of an end; look own jobs up while a node is out of contact

Change: an end is told to all nodes unless the record names this node; owners look their jobs up while a node is out of contact.

--- a/src/jobs/jobcontext.h
+++ b/src/jobs/jobcontext.h
@@ -26,6 +26,8 @@
     std::function<std::vector<std::string>()> live;
     /// True if the node is in contact, serves, and is still this incarnation.
     std::function<bool(const std::string &node, const std::string &incarnation)> isAlive;
+    /// True if every known node is in contact.
+    std::function<bool()> allInContact;
 };
 
 struct JobSettings
@@ -50,6 +52,9 @@
     absl::Duration textTimeout = absl::Milliseconds(150); ///< For the text that other nodes hold of a new job's items.
     /// An unanswered submission is resolved in the background after so long.
     absl::Duration submitLimit = absl::Milliseconds(2500);
+    /// Own jobs are looked up in the store while a node is out of contact: it may have stored their end. Items must stop
+    /// within three seconds of it.
+    absl::Duration recheckPeriod = absl::Milliseconds(1200);
     absl::Duration endLimit = absl::Seconds(3);
 };
 
--- a/src/jobs/jobservice.cpp
+++ b/src/jobs/jobservice.cpp
@@ -639,11 +639,14 @@
             return;
         }
         record.ended = true;
+        const bool ours = record.owner == context_.node && record.ownerIncarnation == context_.incarnation;
         context_.store.replace(RecordKind, ending->jobId, revision, toJson(record),
-                               [this, ending, retry](const StoreReply &reply) {
+                               [this, ending, retry, ours](const StoreReply &reply) {
                                    if (reply.outcome == StoreOutcome::Done) {
                                        markEnded(ending->jobId);
-                                       announceEnd(ending->jobId);
+                                       if (!ours) {
+                                           announceEnd(ending->jobId);
+                                       }
                                        ending->done(ReadOutcome::Found);
                                    } else if (reply.outcome == StoreOutcome::Conflict) {
                                        endStored(ending, true);
@@ -681,10 +684,7 @@
 
 void JobService::announceEnd(const std::string &jobId)
 {
-    // The owner is told even where the record that this node read names another one.
-    if (owned_.contains(jobId)) {
-        return;
-    }
+    // All nodes are told: one that lost the job to a take-over may still run it.
     for (const std::string &node : context_.peers.live()) {
         const auto attempt = std::make_shared<std::function<void(int)>>();
         *attempt = [this, node, jobId, attempt](int left) {
@@ -886,9 +886,27 @@
     for (const std::string &id : waiting) {
         serveWaiters(id);
     }
+    if (!context_.peers.allInContact() && now - lastRecheck_ >= context_.settings.recheckPeriod) {
+        lastRecheck_ = now;
+        recheckOwned();
+    }
     dropOld(now);
 }
 
+void JobService::recheckOwned()
+{
+    for (const auto &[id, owned] : owned_) {
+        if (owned->runner->stopped() || owned->runner->complete()) {
+            continue;
+        }
+        withRecord(id, true, [this, id = id](ReadOutcome, const Known *known) {
+            if (known != nullptr && known->record.ended) {
+                markEnded(id);
+            }
+        });
+    }
+}
+
 void JobService::pump()
 {
     for (const auto &[id, owned] : owned_) {
--- a/src/jobs/jobservice.h
+++ b/src/jobs/jobservice.h
@@ -114,6 +114,8 @@
 
     void endStored(const std::shared_ptr<Ending> &ending, bool fresh);
     void markEnded(const std::string &jobId);
+    /// An end that was stored by a node out of contact is found in the store.
+    void recheckOwned();
     void announceEnd(const std::string &jobId);
     void onScan(objects::StoreReply reply);
     void takeOver(const JobRecord &record, std::uint64_t revision);
@@ -126,6 +128,7 @@
     absl::flat_hash_map<std::string, Copy> copies_;
     absl::flat_hash_map<std::string, std::shared_ptr<Submission>> submissions_; ///< Under way.
     absl::flat_hash_map<std::string, Instant> takingOver_;
+    Instant lastRecheck_;
     bool scanning_ = false;
     bool released_ = false;
 };
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -129,7 +129,8 @@
             mesh_.call(node, method, std::move(body), timeout, std::move(done));
         },
         [this] { return mesh_.live(); },
-        [this](const std::string &node, const std::string &incarnation) { return mesh_.isAlive(node, incarnation); }};
+        [this](const std::string &node, const std::string &incarnation) { return mesh_.isAlive(node, incarnation); },
+        [this] { return mesh_.allInContact(); }};
     jobs::JobSettings jobSettings;
     jobSettings.keep = settings_.statusTime;
     jobs_ = std::make_unique<jobs::JobService>(jobs::JobContext{
