--- a/src/jobs/jobcontext.h
+++ b/src/jobs/jobcontext.h
@@ -26,6 +26,8 @@
     std::function<std::vector<std::string>()> live;
     /// True if the node is in contact, serves, and is still this incarnation.
     std::function<bool(const std::string &node, const std::string &incarnation)> isAlive;
+    /// True if that incarnation of the node has ended, stops, or can't be reached for some time.
+    std::function<bool(const std::string &node, const std::string &incarnation)> isGone;
     /// True if every known node is in contact.
     std::function<bool()> allInContact;
 };
@@ -52,9 +54,9 @@
     absl::Duration textTimeout = absl::Milliseconds(150); ///< For the text that other nodes hold of a new job's items.
     /// An unanswered submission is resolved in the background after so long.
     absl::Duration submitLimit = absl::Milliseconds(2500);
-    /// Own jobs are looked up in the store while a node is out of contact: it may have stored their end. Items must stop
-    /// within three seconds of it.
-    absl::Duration recheckPeriod = absl::Milliseconds(1200);
+    /// Own jobs are looked up in the store while a node is out of contact: it may have stored their end or taken them
+    /// over. What it lists must be shown here within a second.
+    absl::Duration recheckPeriod = absl::Milliseconds(700);
     absl::Duration endLimit = absl::Seconds(3);
 };
 
--- a/src/jobs/jobrunner.cpp
+++ b/src/jobs/jobrunner.cpp
@@ -27,13 +27,12 @@
     return "results-" + jobId;
 }
 
-JobRunner::JobRunner(JobContext &context, JobSpec spec, std::int64_t submittedMs, ResultLog log,
-                     std::function<void()> listed)
+JobRunner::JobRunner(JobContext &context, JobSpec spec, std::int64_t submittedMs, ResultLog log, Hooks hooks)
     : context_(context)
     , spec_(std::move(spec))
     , tracker_(spec_)
     , log_(std::move(log))
-    , listed_(std::move(listed))
+    , hooks_(std::move(hooks))
     , acceptedAt_(net::loopNow())
     , ageAtAccept_(std::max(absl::ZeroDuration(), absl::Now() - absl::FromUnixMillis(submittedMs)))
 {
@@ -408,11 +407,11 @@
 
 void JobRunner::flushIfDue()
 {
-    if (writing_ || stopped_) {
+    if (writing_ || stopped_ || ownerUnsure_) {
         return;
     }
     const Instant now = net::loopNow();
-    bool due = false;
+    bool due = fencePending_;
     for (const Item &item : tracker_.items()) {
         due = due
             || (item.state == ItemState::Finished
@@ -459,6 +458,7 @@
     const std::weak_ptr<JobRunner> weak = weak_from_this();
     if (reply.outcome == objects::StoreOutcome::Done) {
         const Segment segment = *std::exchange(writing_, std::nullopt);
+        fencePending_ = false;
         adopt(segment);
         return;
     }
@@ -505,8 +505,26 @@
     if (!ours) {
         telemetry::log(Level::Warning, "job", "segment_of_another_node",
                        {{"job", spec_.id}, {"segment", segment->number}});
+        ownerUnsure_ = true;
+    } else {
+        fencePending_ = false;
     }
     adopt(*segment);
+    if (!ours) {
+        hooks_.overtaken();
+    }
+}
+
+void JobRunner::fence()
+{
+    fencePending_ = true;
+    flushIfDue();
+}
+
+void JobRunner::confirmOwner()
+{
+    ownerUnsure_ = false;
+    flushIfDue();
 }
 
 void JobRunner::adopt(const Segment &segment)
@@ -528,7 +546,7 @@
                     {"results", segment.results.size()},
                     {"listed", log_.size()},
                     {"total", spec_.items.size()}});
-    listed_();
+    hooks_.listed();
     flushIfDue();
 }
 
--- a/src/jobs/jobrunner.h
+++ b/src/jobs/jobrunner.h
@@ -16,9 +16,13 @@
 class JobRunner : public std::enable_shared_from_this<JobRunner>
 {
 public:
-    /// `listed` is called after results became readable.
-    JobRunner(JobContext &context, JobSpec spec, std::int64_t submittedMs, ResultLog log,
-              std::function<void()> listed);
+    struct Hooks
+    {
+        std::function<void()> listed; ///< Results became readable.
+        /// Another node stored results. None are stored here until confirmOwner().
+        std::function<void()> overtaken;
+    };
+    JobRunner(JobContext &context, JobSpec spec, std::int64_t submittedMs, ResultLog log, Hooks hooks);
 
     const JobSpec &spec() const { return spec_; }
     const ResultLog &log() const { return log_; }
@@ -32,6 +36,10 @@
     void tick();
     /// Ends all runs; text that was generated is kept.
     void stop(std::string_view reason);
+    /// Stores a segment, be it empty, so that a former owner's next write shows it that it was overtaken.
+    void fence();
+    /// This node still owns the job.
+    void confirmOwner();
     /// Takes text or a whole result of an item from another job.
     void reuseText(const std::string &itemId, const ItemText &text);
     void reuseResult(const ItemResult &result);
@@ -58,7 +66,7 @@
     JobSpec spec_;
     ItemTracker tracker_;
     ResultLog log_;
-    std::function<void()> listed_;
+    Hooks hooks_;
     Instant acceptedAt_;
     absl::Duration ageAtAccept_; ///< Zero for a submission; after a takeover, by the clocks of two nodes.
     std::uint64_t lastRun_ = 0;
@@ -68,6 +76,8 @@
     std::optional<Segment> writing_; ///< Being stored; kept unchanged until its fate is known.
     Instant lastFlush_;
     bool stopped_ = false;
+    bool fencePending_ = false;
+    bool ownerUnsure_ = false; ///< From a foreign segment until confirmOwner().
 };
 
 /// Kind of the objects that hold the results of a job.
--- a/src/jobs/jobservice.cpp
+++ b/src/jobs/jobservice.cpp
@@ -23,6 +23,7 @@
 constexpr const char *BodyMethod = "job/body";
 constexpr const char *EndMethod = "job/end";
 constexpr const char *EndedMethod = "job/ended";
+constexpr const char *TakenMethod = "job/taken";
 constexpr const char *TextsMethod = "job/texts";
 // An end is told to the other nodes until they answer, so often.
 constexpr int EndAnnouncements = 5;
@@ -246,13 +247,59 @@
     owned->record = record;
     owned->revision = revision;
     owned->dropAt = dropTime(record.submittedMs);
-    owned->runner = std::make_shared<JobRunner>(context_, std::move(spec), record.submittedMs, std::move(log),
-                                                [this, id = record.id] { serveWaiters(id); });
+    owned->runner = std::make_shared<JobRunner>(
+        context_, std::move(spec), record.submittedMs, std::move(log),
+        JobRunner::Hooks{[this, id = record.id] { serveWaiters(id); }, [this, id = record.id] { checkOwner(id); }});
+    loseOwnership(record.id);
     owned_[record.id] = std::move(owned);
     known_.erase(record.id);
     copies_.erase(record.id);
 }
 
+void JobService::checkOwner(const std::string &jobId)
+{
+    withRecord(jobId, true, [this, jobId](ReadOutcome outcome, const Known *known) {
+        const auto owned = owned_.find(jobId);
+        if (owned == owned_.end()) {
+            return;
+        }
+        if (known == nullptr) {
+            if (outcome == ReadOutcome::Unsure) {
+                net::runAfter(context_.loop, context_.settings.storeRetry, [this, jobId] { checkOwner(jobId); });
+            }
+            return;
+        }
+        if (known->record.owner != context_.node || known->record.ownerIncarnation != context_.incarnation) {
+            loseOwnership(jobId);
+            return;
+        }
+        owned->second->record = known->record;
+        owned->second->revision = known->revision;
+        if (known->record.ended) {
+            markEnded(jobId);
+        } else {
+            owned->second->runner->confirmOwner();
+        }
+    });
+}
+
+void JobService::loseOwnership(const std::string &jobId)
+{
+    const auto found = owned_.find(jobId);
+    if (found == owned_.end()) {
+        return;
+    }
+    std::unique_ptr<Owned> owned = std::move(found->second);
+    owned_.erase(found);
+    owned->runner->stop("another node owns it");
+    for (const Waiter &waiter : owned->waiters) {
+        waiter.done(ReadOutcome::Found,
+                    owned->runner->log().page(waiter.after, owned->record.total, context_.settings.pageBytes));
+    }
+    owned->waiters.clear();
+    former_[jobId] = std::move(owned);
+}
+
 // Text of earlier jobs
 
 void JobService::askForTexts(const std::shared_ptr<Submission> &submission)
@@ -283,32 +330,38 @@
     if (!ids.is_array()) {
         return texts;
     }
-    for (const auto &[jobId, owned] : owned_) {
-        if (!owned->runner->stopped()) {
+    for (const auto *jobs : {&owned_, &former_}) {
+        for (const auto &[jobId, owned] : *jobs) {
+            if (owned->runner->stopped()) {
+                addTexts(*owned->runner, ids, texts);
+            }
+        }
+    }
+    return texts;
+}
+
+void JobService::addTexts(JobRunner &runner, const Json &ids, Json &texts)
+{
+    for (const Json &id : ids) {
+        const std::string name = id.is_string() ? id.get<std::string>() : std::string();
+        const auto index = runner.tracker().find(name);
+        if (!index) {
             continue;
         }
-        for (const Json &id : ids) {
-            const std::string name = id.is_string() ? id.get<std::string>() : std::string();
-            const auto index = owned->runner->tracker().find(name);
-            if (!index) {
-                continue;
-            }
-            const Item &item = owned->runner->tracker().items()[*index];
-            if (item.state == ItemState::Listed) {
-                for (const ItemResult &result : owned->runner->log().results()) {
-                    if (result.id == name && result.state == ResultState::Completed) {
-                        texts[name] = {{"result", toJson(result)}};
-                    }
+        const Item &item = runner.tracker().items()[*index];
+        if (item.state == ItemState::Listed) {
+            for (const ItemResult &result : runner.log().results()) {
+                if (result.id == name && result.state == ResultState::Completed) {
+                    texts[name] = {{"result", toJson(result)}};
                 }
-            } else if (item.state == ItemState::Finished && !item.text.empty()) {
-                const ItemResult result{name, ResultState::Completed, item.text.joined(), item.text.versions};
-                texts[name] = {{"result", toJson(result)}};
-            } else if (!item.text.empty()) {
-                texts[name] = {{"text", toJson(item.text)}};
             }
+        } else if (item.state == ItemState::Finished && !item.text.empty()) {
+            const ItemResult result{name, ResultState::Completed, item.text.joined(), item.text.versions};
+            texts[name] = {{"result", toJson(result)}};
+        } else if (!item.text.empty()) {
+            texts[name] = {{"text", toJson(item.text)}};
         }
     }
-    return texts;
 }
 
 void JobService::applyTexts(const std::string &jobId, const Json &texts)
@@ -739,6 +792,10 @@
     } else if (method == EndedMethod) {
         markEnded(jobId);
         reply(Json::object());
+    } else if (method == TakenMethod) {
+        checkOwner(jobId);
+        known_.erase(jobId);
+        reply(Json::object());
     } else if (method == TextsMethod) {
         reply(textsFor(body.contains("ids") ? body["ids"] : Json::array()));
     } else {
@@ -775,7 +832,7 @@
         }
         const bool mine = record->owner == context_.node && record->ownerIncarnation == context_.incarnation;
         if (record->ended || owned_.contains(record->id) || submissions_.contains(record->id)
-            || context_.peers.isAlive(record->owner, record->ownerIncarnation)) {
+            || (!mine && !context_.peers.isGone(record->owner, record->ownerIncarnation))) {
             continue;
         }
         std::string winner = context_.node;
@@ -817,6 +874,10 @@
             net::runAfter(context_.loop, context_.settings.storeRetry, [this] { scanOrphans(); });
             return;
         }
+        for (const std::string &node : context_.peers.live()) {
+            context_.peers.call(node, TakenMethod, {{"job", mine.id}}, context_.settings.peerTimeout,
+                                [](const absl::StatusOr<Json> &) {});
+        }
         const std::uint64_t owned = reply.changes.front().object.revision;
         const auto log = std::make_shared<ResultLog>();
         const auto failed = [this, mine] {
@@ -842,6 +903,7 @@
                 }
                 takingOver_.erase(mine.id);
                 own(mine, owned, std::move(spec), std::move(*log));
+                owned_[mine.id]->runner->fence();
                 Json ids = Json::array();
                 for (const ItemSpec &item : owned_[mine.id]->runner->spec().items) {
                     ids.push_back(item.id);
@@ -895,15 +957,15 @@
 
 void JobService::recheckOwned()
 {
+    std::vector<std::string> open;
     for (const auto &[id, owned] : owned_) {
         if (owned->runner->stopped() || owned->runner->complete()) {
             continue;
         }
-        withRecord(id, true, [this, id = id](ReadOutcome, const Known *known) {
-            if (known != nullptr && known->record.ended) {
-                markEnded(id);
-            }
-        });
+        open.push_back(id);
+    }
+    for (const std::string &id : open) {
+        checkOwner(id);
     }
 }
 
@@ -924,6 +986,7 @@
 void JobService::dropOld(Instant now)
 {
     absl::erase_if(known_, [now](const auto &entry) { return entry.second.dropAt <= now; });
+    absl::erase_if(former_, [now](const auto &entry) { return entry.second->dropAt <= now; });
     absl::erase_if(copies_, [now](const auto &entry) { return entry.second.dropAt <= now; });
     std::vector<std::string> old;
     for (const auto &[id, owned] : owned_) {
--- a/src/jobs/jobservice.h
+++ b/src/jobs/jobservice.h
@@ -95,8 +95,13 @@
     void recheckRecord(const std::shared_ptr<Submission> &submission);
     void finishSubmission(const std::shared_ptr<Submission> &submission, SubmitOutcome outcome);
     void own(const JobRecord &record, std::uint64_t revision, JobSpec spec, ResultLog log);
+    /// Reads whether this node still owns a job that another node wrote results for.
+    void checkOwner(const std::string &jobId);
+    /// Stops running a job that another node took over.
+    void loseOwnership(const std::string &jobId);
     void askForTexts(const std::shared_ptr<Submission> &submission);
     Json textsFor(const Json &ids) const;
+    static void addTexts(JobRunner &runner, const Json &ids, Json &texts);
     void applyTexts(const std::string &jobId, const Json &texts);
 
     using RecordCallback = std::function<void(ReadOutcome, const Known *)>;
@@ -124,6 +129,7 @@
 
     JobContext context_;
     absl::flat_hash_map<std::string, std::unique_ptr<Owned>> owned_;
+    absl::flat_hash_map<std::string, std::unique_ptr<Owned>> former_; ///< Taken over by other nodes; kept for its text.
     absl::flat_hash_map<std::string, Known> known_; ///< Records as last read.
     absl::flat_hash_map<std::string, Copy> copies_;
     absl::flat_hash_map<std::string, std::shared_ptr<Submission>> submissions_; ///< Under way.
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -21,7 +21,8 @@
 constexpr absl::Duration FastPeriod = absl::Milliseconds(100);
 constexpr absl::Duration SlowPeriod = absl::Milliseconds(1000);
 // After its start a node gives the others time to answer before it takes jobs over.
-constexpr absl::Duration FirstScan = absl::Milliseconds(1500);
+constexpr absl::Duration FirstScans[]
+    = {absl::Milliseconds(1500), absl::Milliseconds(3000), absl::Milliseconds(5000), absl::Milliseconds(8000)};
 // An orphan may be found only after its owner counts as lost everywhere: look again.
 constexpr absl::Duration LaterScans[] = {absl::ZeroDuration(), absl::Milliseconds(1500), absl::Seconds(4)};
 // Registrations of nodes that nobody reaches for this long are removed.
@@ -130,6 +131,7 @@
         },
         [this] { return mesh_.live(); },
         [this](const std::string &node, const std::string &incarnation) { return mesh_.isAlive(node, incarnation); },
+        [this](const std::string &node, const std::string &incarnation) { return mesh_.isGone(node, incarnation); },
         [this] { return mesh_.allInContact(); }};
     jobs::JobSettings jobSettings;
     jobSettings.keep = settings_.statusTime;
@@ -198,7 +200,9 @@
     mesh_.start();
     net::runEvery(loop_, FastPeriod, [this] { fast(); });
     net::runEvery(loop_, SlowPeriod, [this] { slow(); });
-    net::runAfter(loop_, FirstScan, [this] { jobs_->scanOrphans(); });
+    for (const absl::Duration delay : FirstScans) {
+        net::runAfter(loop_, delay, [this] { jobs_->scanOrphans(); });
+    }
 }
 
 void Node::stop()
--- a/src/node/peermesh.cpp
+++ b/src/node/peermesh.cpp
@@ -74,6 +74,7 @@
     , client_(client)
     , settings_(settings)
     , self_(std::move(self))
+    , startedAt_(net::loopNow())
 {
 }
 
@@ -86,6 +87,8 @@
     if (peer.control != control) {
         peer.control = control;
         peer.lastAnswer = Instant();
+        peer.askedSince = net::loopNow();
+        peer.refused = false;
         ask(name);
     }
 }
@@ -179,6 +182,7 @@
                    && errorContext(response.status()).step == Step::Connect) {
             // Refused: no process listens there.
             found->second.lastAnswer = Instant();
+            found->second.refused = true;
             if (std::exchange(found->second.wasAlive, false)) {
                 telemetry::log(Level::Warning, "mesh", "node_refuses", {{"node", name}});
                 lost_(name);
@@ -191,6 +195,9 @@
 void PeerMesh::learn(const NodeInfo &info)
 {
     Peer &peer = peers_[info.name];
+    if (peer.askedSince == Instant()) {
+        peer.askedSince = net::loopNow();
+    }
     const bool anew = !peer.info.incarnation.empty() && peer.info.incarnation != info.incarnation;
     const bool stops = info.stopping && !peer.info.stopping;
     peer.control = info.control;
@@ -210,6 +217,7 @@
     learn(*info);
     Peer &peer = peers_[info->name];
     peer.lastAnswer = net::loopNow();
+    peer.refused = false;
     if (!std::exchange(peer.wasAlive, true)) {
         telemetry::log(Level::Info, "mesh", "node_found",
                        {{"node", info->name}, {"incarnation", info->incarnation}, {"known", peers_.size()}});
@@ -332,6 +340,21 @@
         && found->second.info.incarnation == incarnation;
 }
 
+bool PeerMesh::isGone(const std::string &node, const std::string &incarnation) const
+{
+    const Instant now = net::loopNow();
+    const auto found = peers_.find(node);
+    if (found == peers_.end()) {
+        // Not registered, or the registrations are not read yet.
+        return node == self_().name || now - startedAt_ > settings_.lostAfter;
+    }
+    const Peer &peer = found->second;
+    if (inContact(peer)) {
+        return peer.info.stopping || peer.info.incarnation != incarnation;
+    }
+    return peer.refused || now - std::max(peer.askedSince, peer.lastAnswer) > settings_.lostAfter;
+}
+
 bool PeerMesh::allInContact() const
 {
     return std::all_of(peers_.begin(), peers_.end(), [this](const auto &entry) { return inContact(entry.second); });
--- a/src/node/peermesh.h
+++ b/src/node/peermesh.h
@@ -76,6 +76,8 @@
     /// Nodes in contact, those that stop included.
     std::vector<NodeInfo> contacts() const;
     bool isAlive(const std::string &node, const std::string &incarnation) const;
+    /// True if that incarnation ended, stops, refuses connections or didn't answer for some time.
+    bool isGone(const std::string &node, const std::string &incarnation) const;
     /// True if every registered node is in contact.
     bool allInContact() const;
     std::vector<std::string> outOfContact() const;
@@ -89,6 +91,8 @@
         std::string control;
         NodeInfo info;
         Instant lastAnswer; ///< The origin while out of contact.
+        Instant askedSince; ///< First question, or the last change of its address.
+        bool refused = false; ///< The last question was refused: no process listens there.
         bool asking = false;
         bool wasAlive = false;
     };
@@ -109,6 +113,7 @@
     std::function<void(const std::string &)> lost_;
     std::function<void(const Json &)> extraHandler_;
     std::function<Json()> extraSource_;
+    Instant startedAt_;
     std::map<std::string, Peer> peers_; ///< By name, without this node.
     std::vector<std::string> seeds_;
 };
--- /dev/null
+++ b/tests/jobs/jobcluster.h
@@ -0,0 +1,202 @@
+// Several job services on one loop, with an object store and replicas of the test's own.
+#ifndef CURRANTLUG_TESTS_JOBS_JOBCLUSTER_H
+#define CURRANTLUG_TESTS_JOBS_JOBCLUSTER_H
+
+#include "fakes/fakereplicas.h"
+#include "fakes/memoryobjects.h"
+#include "fakes/runloop.h"
+#include "jobs/jobservice.h"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace currantlug::tests {
+
+class JobCluster
+{
+public:
+    explicit JobCluster(const std::vector<std::string> &names)
+        : store(loop)
+        , replicas(loop)
+    {
+        config.routes.push_back({});
+        serving::Route &route = config.routes.back();
+        route.name = "batch";
+        route.host = "host.example";
+        route.pathPrefix = "/batch/";
+        route.kind = serving::RouteKind::Rollout;
+        route.maxAttempts = 2;
+        route.services = {{"engine", 1}};
+        for (const std::string &name : names) {
+            start(name);
+        }
+        tick();
+    }
+
+    void start(const std::string &name)
+    {
+        Member &member = members_[name];
+        member.incarnation = name + "-" + std::to_string(++starts_);
+        member.table = std::make_unique<serving::ReplicaTable>(serving::ReplicaTableSettings{});
+        for (const char *id : {"r1", "r2"}) {
+            serving::ReplicaEntry entry;
+            entry.id = id;
+            entry.service = "engine";
+            entry.slots = 4;
+            entry.weightVersions["model"] = 1;
+            member.table->update(entry);
+        }
+        const jobs::PeerPort peers{
+            [this, name](const std::string &node, const std::string &method, const Json &body, absl::Duration,
+                         jobs::PeerPort::Callback done) { call(name, node, method, body, std::move(done)); },
+            [this, name] {
+                std::vector<std::string> live;
+                for (const auto &[other, peer] : members_) {
+                    if (other != name && peer.service != nullptr && !peer.stopping && reachable(name, other)) {
+                        live.push_back(other);
+                    }
+                }
+                return live;
+            },
+            [this, name](const std::string &node, const std::string &incarnation) {
+                const auto found = members_.find(node);
+                return found != members_.end() && found->second.service != nullptr && !found->second.stopping
+                    && found->second.incarnation == incarnation && reachable(name, node);
+            },
+            [this, name](const std::string &node, const std::string &incarnation) {
+                const auto found = members_.find(node);
+                return found == members_.end() || found->second.service == nullptr || found->second.stopping
+                    || found->second.incarnation != incarnation || !reachable(name, node);
+            },
+            [this] { return cut.empty(); }};
+        member.stopping = false;
+        member.service = std::make_unique<jobs::JobService>(jobs::JobContext{
+            loop, *member.table, replicas.port(), store.port(), peers, [this] { return &config; },
+            [this]() -> const std::map<std::string, std::string> & { return plan_; }, name, member.incarnation, settings});
+    }
+
+    /// The process dies; what it was about to do is not done.
+    void kill(const std::string &name)
+    {
+        // Calls under way still refer to it, so it is kept and only cut off.
+        members_[name].service->release();
+        graveyard_.push_back(std::move(members_[name].service));
+        tables_.push_back(std::move(members_[name].table));
+    }
+    void stop(const std::string &name)
+    {
+        members_[name].stopping = true;
+        members_[name].service->release();
+    }
+    jobs::JobService &at(const std::string &name) { return *members_[name].service; }
+
+    static jobs::JobSpec spec(const std::string &id, int items)
+    {
+        jobs::JobSpec spec;
+        spec.id = id;
+        spec.workspace = "w";
+        spec.host = "host.example";
+        spec.path = "/batch/x";
+        spec.model = "model";
+        spec.minVersion = 1;
+        for (int i = 0; i < items; ++i) {
+            jobs::ItemSpec item;
+            item.id = id + "-" + std::to_string(i);
+            item.path = "/batch/" + std::to_string(i);
+            item.group = "g" + std::to_string(i / 2);
+            item.body = "body of " + item.id;
+            spec.items.push_back(item);
+        }
+        return spec;
+    }
+
+    jobs::SubmitOutcome submit(const std::string &node, jobs::JobSpec spec)
+    {
+        std::optional<jobs::SubmitOutcome> outcome;
+        at(node).submit(std::move(spec), [&outcome](jobs::SubmitOutcome result) { outcome = result; });
+        runUntil(loop, [&outcome] { return outcome.has_value(); });
+        return outcome.value_or(jobs::SubmitOutcome::Unknown);
+    }
+
+    std::pair<jobs::ReadOutcome, jobs::ResultPage> read(const std::string &node, const std::string &job,
+                                                        std::uint64_t after = 0)
+    {
+        std::optional<std::pair<jobs::ReadOutcome, jobs::ResultPage>> result;
+        at(node).read(job, "w", after, absl::ZeroDuration(),
+                      [&result](jobs::ReadOutcome outcome, jobs::ResultPage page) {
+                          result = {outcome, std::move(page)};
+                      });
+        runUntil(loop, [&result] { return result.has_value(); });
+        return result.value_or(std::pair{jobs::ReadOutcome::Unsure, jobs::ResultPage{}});
+    }
+
+    jobs::ReadOutcome end(const std::string &node, const std::string &job)
+    {
+        std::optional<jobs::ReadOutcome> result;
+        at(node).end(job, "w", [&result](jobs::ReadOutcome outcome) { result = outcome; });
+        runUntil(loop, [&result] { return result.has_value(); });
+        return result.value_or(jobs::ReadOutcome::Unsure);
+    }
+
+    bool waitForResults(const std::string &node, const std::string &job, std::uint64_t count)
+    {
+        return runUntil(loop, [this, &node, &job, count] { return read(node, job).second.next >= count; });
+    }
+
+    bool reachable(const std::string &a, const std::string &b) const
+    {
+        return !cut.contains({a, b}) && !cut.contains({b, a});
+    }
+
+    net::Loop loop;
+    MemoryObjects store;
+    FakeReplicas replicas;
+    serving::GatewayConfig config;
+    jobs::JobSettings settings;
+    std::set<std::pair<std::string, std::string>> cut; ///< Pairs of nodes without contact.
+
+private:
+    struct Member
+    {
+        std::string incarnation;
+        bool stopping = false;
+        std::unique_ptr<serving::ReplicaTable> table;
+        std::unique_ptr<jobs::JobService> service;
+    };
+
+    void call(const std::string &from, const std::string &to, const std::string &method, const Json &body,
+              jobs::PeerPort::Callback done)
+    {
+        const auto found = members_.find(to);
+        if (found == members_.end() || found->second.service == nullptr || !reachable(from, to)) {
+            net::runAfter(loop, absl::Milliseconds(5),
+                          [done = std::move(done)] { done(absl::UnavailableError("unreachable")); });
+            return;
+        }
+        found->second.service->peerCall(method, body, [this, done = std::move(done)](const Json &reply) {
+            net::runAfter(loop, absl::Milliseconds(1), [done, reply] { done(reply); });
+        });
+    }
+
+    void tick()
+    {
+        for (auto &[name, member] : members_) {
+            if (member.service != nullptr) {
+                member.service->tick();
+            }
+        }
+        net::runAfter(loop, absl::Milliseconds(20), [this] { tick(); });
+    }
+
+    int starts_ = 0;
+    std::map<std::string, std::string> plan_;
+    std::map<std::string, Member> members_;
+    std::vector<std::unique_ptr<jobs::JobService>> graveyard_;
+    std::vector<std::unique_ptr<serving::ReplicaTable>> tables_;
+};
+
+} // namespace currantlug::tests
+
+#endif
--- /dev/null
+++ b/tests/jobs/jobservicetest.cpp
@@ -0,0 +1,298 @@
+// Batch jobs over several nodes: acceptance, positions, take-over, ends.
+#include "jobcluster.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+using namespace currantlug;
+using namespace currantlug::tests;
+using jobs::ReadOutcome;
+using jobs::SubmitOutcome;
+using objects::StoreOutcome;
+
+namespace {
+
+std::vector<std::string> idsOf(const jobs::ResultPage &page)
+{
+    std::vector<std::string> ids;
+    for (const jobs::ItemResult &result : page.results) {
+        ids.push_back(result.id);
+    }
+    return ids;
+}
+
+} // namespace
+
+// Guards against results that differ between nodes or lack part of an item's text.
+TEST_CASE("all nodes show the same whole results at the same positions")
+{
+    JobCluster cluster({"a", "b", "c"});
+    REQUIRE(cluster.submit("a", JobCluster::spec("job", 6)) == SubmitOutcome::Accepted);
+    REQUIRE(cluster.waitForResults("a", "job", 6));
+    const auto [outcome, page] = cluster.read("a", "job");
+    for (const jobs::ItemResult &result : page.results) {
+        CHECK(result.state == jobs::ResultState::Completed);
+        CHECK(result.text == FakeReplicas::textOf(result.id, 3));
+        CHECK(result.versions == std::vector<std::uint64_t>{1});
+    }
+    CHECK(page.total == 6);
+    CHECK(idsOf(cluster.read("b", "job").second) == idsOf(page));
+    const auto ids = idsOf(page);
+    CHECK(idsOf(cluster.read("c", "job", 2).second) == std::vector<std::string>(ids.begin() + 2, ids.end()));
+}
+
+// Guards against a job that runs twice because its submission was repeated at another node.
+TEST_CASE("a repeated submission is accepted once")
+{
+    JobCluster cluster({"a", "b"});
+    REQUIRE(cluster.submit("a", JobCluster::spec("job", 2)) == SubmitOutcome::Accepted);
+    REQUIRE(cluster.submit("b", JobCluster::spec("job", 2)) == SubmitOutcome::Accepted);
+    REQUIRE(cluster.waitForResults("b", "job", 2));
+    CHECK(cluster.replicas.arrivals.size() == 2);
+}
+
+// Guards against a job that is forgotten, or refused though it runs, when the store's answer to its creation is lost.
+TEST_CASE("a submission whose store answer is lost is resolved")
+{
+    JobCluster cluster({"a"});
+    int losses = 1;
+    cluster.store.setFault([&losses](const std::string &op, const std::string &kind, const std::string &) {
+        return op == "create" && kind == "jobs" && losses-- > 0 ? StoreOutcome::Unknown : StoreOutcome::Done;
+    });
+    CHECK(cluster.submit("a", JobCluster::spec("job", 2)) == SubmitOutcome::Accepted);
+    CHECK(cluster.waitForResults("a", "job", 2));
+}
+
+// Guards against an untrue refusal: after 503 nothing of the job may run.
+TEST_CASE("a refused submission runs nothing")
+{
+    JobCluster cluster({"a"});
+    cluster.store.setFault([](const std::string &op, const std::string &kind, const std::string &) {
+        return op == "create" && kind == "jobs" ? StoreOutcome::Refused : StoreOutcome::Done;
+    });
+    CHECK(cluster.submit("a", JobCluster::spec("job", 2)) == SubmitOutcome::Refused);
+    cluster.store.setFault({});
+    runFor(cluster.loop, std::chrono::milliseconds(600));
+    CHECK(cluster.replicas.arrivals.empty());
+    CHECK(cluster.read("a", "job").first == ReadOutcome::NotFound);
+}
+
+// Guards against take-overs that load a job's items, drop them and start over without end (the number of items was
+// compared after the specification had been moved away).
+TEST_CASE("another node finishes the job of a killed one")
+{
+    JobCluster cluster({"a", "b"});
+    cluster.replicas.gap = absl::Milliseconds(20);
+    REQUIRE(cluster.submit("a", JobCluster::spec("job", 6)) == SubmitOutcome::Accepted);
+    cluster.kill("a");
+    cluster.at("b").scanOrphans();
+    REQUIRE(cluster.waitForResults("b", "job", 6));
+    const auto page = cluster.read("b", "job").second;
+    auto ids = idsOf(page);
+    std::sort(ids.begin(), ids.end());
+    CHECK(std::unique(ids.begin(), ids.end()) == ids.end());
+    CHECK(cluster.store.value("jobs", "job")["owner"] == "b");
+}
+
+// Guards against results that were read and then change or vanish after the owner dies.
+TEST_CASE("results that were read stay at their positions after a take-over")
+{
+    JobCluster cluster({"a", "b"});
+    cluster.replicas.gap = absl::Milliseconds(15);
+    cluster.settings.flushDelay = absl::Milliseconds(1);
+    REQUIRE(cluster.submit("a", JobCluster::spec("job", 12)) == SubmitOutcome::Accepted);
+    REQUIRE(cluster.waitForResults("a", "job", 2));
+    const auto before = idsOf(cluster.read("a", "job").second);
+    cluster.kill("a");
+    cluster.at("b").scanOrphans();
+    REQUIRE(cluster.waitForResults("b", "job", 12));
+    const auto after = idsOf(cluster.read("b", "job").second);
+    REQUIRE(after.size() == 12);
+    CHECK(std::equal(before.begin(), before.end(), after.begin()));
+}
+
+// Guards against two owners that give one position two results: the first owner is cut off, not dead.
+TEST_CASE("a former owner that still runs agrees on every position")
+{
+    JobCluster cluster({"a", "b"});
+    cluster.replicas.gap = absl::Milliseconds(20);
+    REQUIRE(cluster.submit("a", JobCluster::spec("job", 8)) == SubmitOutcome::Accepted);
+    cluster.cut.insert({"a", "b"});
+    cluster.at("b").scanOrphans();
+    REQUIRE(cluster.waitForResults("b", "job", 8));
+    REQUIRE(cluster.waitForResults("a", "job", 8));
+    CHECK(idsOf(cluster.read("a", "job").second) == idsOf(cluster.read("b", "job").second));
+}
+
+// Guards against a node that says "nothing at this position" though another node has shown the result there: the first
+// owner was out of contact, was taken over, and went on answering from its own log.
+TEST_CASE("a former owner hands reads to the present one")
+{
+    JobCluster cluster({"a", "b"});
+    cluster.replicas.gap = absl::Milliseconds(20);
+    REQUIRE(cluster.submit("a", JobCluster::spec("job", 4)) == SubmitOutcome::Accepted);
+    cluster.cut.insert({"a", "b"});
+    cluster.at("b").scanOrphans();
+    REQUIRE(runUntil(cluster.loop, [&cluster] { return cluster.at("b").openJobs() == 1; }));
+    cluster.cut.clear();
+    REQUIRE(cluster.waitForResults("b", "job", 4));
+    const Instant listed = net::loopNow();
+    REQUIRE(cluster.waitForResults("a", "job", 4));
+    CHECK(net::loopNow() - listed < absl::Seconds(1));
+    CHECK(cluster.at("a").openJobs() == 0);
+}
+
+// Guards against results that the new owner doesn't know of because the former one stored them after the take-over.
+TEST_CASE("a take-over closes the log to the former owner")
+{
+    JobCluster cluster({"a", "b"});
+    cluster.replicas.gap = absl::Milliseconds(60);
+    REQUIRE(cluster.submit("a", JobCluster::spec("job", 2)) == SubmitOutcome::Accepted);
+    cluster.cut.insert({"a", "b"});
+    cluster.at("b").scanOrphans();
+    REQUIRE(runUntil(cluster.loop, [&cluster] { return cluster.store.count("results-job") == 1; }));
+    CHECK(cluster.store.value("results-job", jobs::segmentName(0))["results"].empty());
+    REQUIRE(cluster.waitForResults("b", "job", 2));
+    CHECK(cluster.store.count("results-job") == 2);
+}
+
+// Guards against items that run on after the end of their job: a stopping node stored the end from its own old record
+// and told nobody, while another node had taken the job over.
+TEST_CASE("an end stored by a former owner reaches the present one")
+{
+    JobCluster cluster({"a", "b"});
+    cluster.replicas.gap = absl::Milliseconds(200);
+    REQUIRE(cluster.submit("a", JobCluster::spec("job", 8)) == SubmitOutcome::Accepted);
+    cluster.stop("a");
+    cluster.at("b").scanOrphans();
+    REQUIRE(runUntil(cluster.loop, [&cluster] { return cluster.at("b").openJobs() == 1; }));
+    REQUIRE(cluster.end("a", "job") == ReadOutcome::Found);
+    CHECK(runUntil(cluster.loop, [&cluster] { return cluster.replicas.running == 0; }, std::chrono::seconds(2)));
+    CHECK(cluster.at("b").openJobs() == 0);
+}
+
+// Guards against items that run on after an end that was stored by a node which the owner can't be reached from.
+TEST_CASE("an owner out of contact finds the end in the store")
+{
+    JobCluster cluster({"a", "b"});
+    cluster.replicas.gap = absl::Milliseconds(500);
+    REQUIRE(cluster.submit("a", JobCluster::spec("job", 8)) == SubmitOutcome::Accepted);
+    cluster.cut.insert({"a", "b"});
+    REQUIRE(cluster.end("b", "job") == ReadOutcome::Found);
+    CHECK(runUntil(cluster.loop, [&cluster] { return cluster.replicas.running == 0; }, std::chrono::seconds(3)));
+}
+
+// Guards against lost text: a run that breaks off must go on from its last event, at whichever replica.
+TEST_CASE("a run that breaks off goes on from its last event")
+{
+    JobCluster cluster({"a"});
+    cluster.replicas.eventsPerItem = 5;
+    cluster.replicas.breakAfter["job-0"] = 3;
+    REQUIRE(cluster.submit("a", JobCluster::spec("job", 2)) == SubmitOutcome::Accepted);
+    REQUIRE(cluster.waitForResults("a", "job", 2));
+    for (const jobs::ItemResult &result : cluster.read("a", "job").second.results) {
+        CHECK(result.text == FakeReplicas::textOf(result.id, 5));
+    }
+    const auto resumed = std::find_if(cluster.replicas.arrivals.begin(), cluster.replicas.arrivals.end(),
+                                      [](const auto &arrival) { return arrival.resumeAfter.has_value(); });
+    REQUIRE(resumed != cluster.replicas.arrivals.end());
+    CHECK(resumed->item == "job-0");
+    CHECK(*resumed->resumeAfter == 3);
+}
+
+// Guards against samples older than the step allows.
+TEST_CASE("no item runs under weights older than the job allows")
+{
+    JobCluster cluster({"a"});
+    cluster.replicas.versions["r1"] = 1;
+    cluster.replicas.versions["r2"] = 2;
+    jobs::JobSpec spec = JobCluster::spec("job", 4);
+    spec.minVersion = 2;
+    REQUIRE(cluster.submit("a", spec) == SubmitOutcome::Accepted);
+    runFor(cluster.loop, std::chrono::milliseconds(100));
+    CHECK(cluster.replicas.arrivals.empty());
+}
+
+// Guards against items that can never be done being sent for ever, and against giving up too early.
+TEST_CASE("items are abandoned for what the replicas answer")
+{
+    JobCluster cluster({"a"});
+    cluster.replicas.statusOfItem["job-0"] = 422;
+    cluster.replicas.statusOfItem["job-1"] = 500;
+    REQUIRE(cluster.submit("a", JobCluster::spec("job", 4)) == SubmitOutcome::Accepted);
+    REQUIRE(cluster.waitForResults("a", "job", 4));
+    for (const jobs::ItemResult &result : cluster.read("a", "job").second.results) {
+        const bool failing = result.id == "job-0" || result.id == "job-1";
+        CHECK((result.state == jobs::ResultState::Abandoned) == failing);
+    }
+    const auto sent = [&cluster](const std::string &item) {
+        return std::count_if(cluster.replicas.arrivals.begin(), cluster.replicas.arrivals.end(),
+                             [&item](const auto &arrival) { return arrival.item == item; });
+    };
+    CHECK(sent("job-0") == 1);
+    CHECK(sent("job-1") == 2);
+}
+
+// Guards against work done twice: groups that return in a later step go on with what was generated for them.
+TEST_CASE("text of an ended job is used when its items come again at another node")
+{
+    JobCluster cluster({"a", "b"});
+    cluster.replicas.eventsPerItem = 40;
+    cluster.replicas.gap = absl::Milliseconds(10);
+    REQUIRE(cluster.submit("a", JobCluster::spec("one", 2)) == SubmitOutcome::Accepted);
+    runFor(cluster.loop, std::chrono::milliseconds(150));
+    REQUIRE(cluster.end("a", "one") == ReadOutcome::Found);
+    jobs::JobSpec again = JobCluster::spec("one", 2);
+    again.id = "two";
+    const std::size_t sent = cluster.replicas.arrivals.size();
+    REQUIRE(cluster.submit("b", again) == SubmitOutcome::Accepted);
+    REQUIRE(cluster.waitForResults("b", "two", 2));
+    CHECK(cluster.replicas.arrivals.at(sent).resumeAfter.has_value());
+    CHECK(cluster.read("b", "two").second.results.at(0).text
+          == FakeReplicas::textOf(cluster.read("b", "two").second.results.at(0).id, 40));
+}
+
+// Guards against one workspace reading or ending another one's jobs.
+TEST_CASE("a job of another workspace is not found")
+{
+    JobCluster cluster({"a", "b"});
+    REQUIRE(cluster.submit("a", JobCluster::spec("job", 2)) == SubmitOutcome::Accepted);
+    for (const std::string node : {"a", "b"}) {
+        std::optional<ReadOutcome> outcome;
+        cluster.at(node).read("job", "other", 0, absl::ZeroDuration(),
+                              [&outcome](ReadOutcome result, const jobs::ResultPage &) { outcome = result; });
+        REQUIRE(runUntil(cluster.loop, [&outcome] { return outcome.has_value(); }));
+        CHECK(*outcome == ReadOutcome::NotFound);
+    }
+}
+
+// Guards against a false "no such job" while neither the store nor the owner can be asked.
+TEST_CASE("a job that can't be looked up is not reported as missing")
+{
+    JobCluster cluster({"a", "b"});
+    REQUIRE(cluster.submit("a", JobCluster::spec("job", 2)) == SubmitOutcome::Accepted);
+    cluster.store.setFault([](const std::string &, const std::string &, const std::string &) {
+        return StoreOutcome::Refused;
+    });
+    CHECK(cluster.read("b", "job").first == ReadOutcome::Unsure);
+}
+
+// Guards against bodies that can't be read after their owner died.
+TEST_CASE("the body of an item is read at any node")
+{
+    JobCluster cluster({"a", "b"});
+    cluster.replicas.silent = {"r1", "r2"};
+    REQUIRE(cluster.submit("a", JobCluster::spec("job", 2)) == SubmitOutcome::Accepted);
+    const auto body = [&cluster](const std::string &node) {
+        std::optional<std::string> bytes;
+        cluster.at(node).body("job", "w", "job-1",
+                              [&bytes](ReadOutcome, const std::string &found) { bytes = found; });
+        runUntil(cluster.loop, [&bytes] { return bytes.has_value(); });
+        return bytes.value_or("");
+    };
+    CHECK(body("a") == "body of job-1");
+    CHECK(body("b") == "body of job-1");
+    cluster.kill("a");
+    CHECK(body("b") == "body of job-1");
+}
--- /dev/null
+++ b/tests/jobs/partstest.cpp
@@ -0,0 +1,112 @@
+// Result log, item order and stored forms.
+#include "jobs/itemtracker.h"
+#include "jobs/resultlog.h"
+
+#include <catch2/catch.hpp>
+
+using namespace currantlug;
+using namespace currantlug::jobs;
+
+namespace {
+
+ItemResult result(const std::string &id, std::size_t bytes = 10)
+{
+    return {id, ResultState::Completed, std::string(bytes, 'x'), {1}};
+}
+
+} // namespace
+
+// Guards against an item at two positions when two owners stored it in segments of their own.
+TEST_CASE("an item that is in two segments is listed once")
+{
+    ResultLog log;
+    REQUIRE(log.append({0, "n0", {result("a"), result("b")}}));
+    REQUIRE(log.append({1, "n1", {result("b"), result("c")}}));
+    const ResultPage page = log.page(0, 3, 1000000);
+    REQUIRE(page.results.size() == 3);
+    CHECK(page.results[1].id == "b");
+    CHECK(page.results[2].id == "c");
+    CHECK(page.next == 3);
+}
+
+// Guards against gaps: a segment may only follow the one before it.
+TEST_CASE("a segment out of order is not appended")
+{
+    ResultLog log;
+    CHECK_FALSE(log.append({1, "n", {result("a")}}));
+    CHECK(log.size() == 0);
+}
+
+// Guards against answers over the size that clients take, and against pages that never advance.
+TEST_CASE("a page is cut by size but holds at least one result")
+{
+    ResultLog log;
+    REQUIRE(log.append({0, "n", {result("a", 5000), result("b", 5000), result("c", 5000)}}));
+    CHECK(log.page(0, 3, 100).results.size() == 1);
+    CHECK(log.page(0, 3, 11000).results.size() == 2);
+    CHECK(log.page(3, 3, 100).results.empty());
+    CHECK(log.page(3, 3, 100).next == 3);
+    CHECK(log.page(9, 3, 100).next == 9);
+}
+
+TEST_CASE("stored forms read back as they were")
+{
+    const Segment segment{7, "nonce", {result("a"), {"b", ResultState::Abandoned, "", {}}}};
+    const auto read = parseSegment(7, toJson(segment));
+    REQUIRE(read);
+    CHECK(read->nonce == "nonce");
+    CHECK(read->results.at(1).state == ResultState::Abandoned);
+    ItemSpec item;
+    item.id = "i";
+    item.path = "/p";
+    item.body = std::string("\0\xff binary", 9);
+    item.headers.add("X-Some", "value");
+    const auto back = parseItemSpec(toJson(item));
+    REQUIRE(back);
+    CHECK(back->body == item.body);
+    CHECK(back->headers.find("x-some") == "value");
+    CHECK_FALSE(parseSegment(0, Json{{"results", {{{"id", "x"}}}}}));
+    CHECK_FALSE(parseJobRecord("j", Json::array()));
+    CHECK(segmentName(9) < segmentName(10));
+}
+
+// Load: a step needs nearly all of its groups, so it lasts as long as its longest item takes from its start. Begun
+// items and long ones must not wait behind short ones.
+TEST_CASE("begun items go first, then the longest")
+{
+    JobSpec spec;
+    for (const auto &[id, hint] : {std::pair{"short", 10.0}, {"long", 900.0}, {"begun", 5.0}, {"middle", 50.0}}) {
+        ItemSpec item;
+        item.id = id;
+        item.group = "g";
+        item.lengthHint = hint;
+        spec.items.push_back(item);
+    }
+    ItemTracker tracker(spec);
+    ItemText text;
+    text.events = {"e"};
+    text.lastEventId = 1;
+    text.versions = {3};
+    REQUIRE(tracker.reuse(2, text, 3, false));
+    std::vector<std::string> order;
+    for (const std::size_t index : tracker.sendOrder(Instant())) {
+        order.push_back(tracker.items()[index].spec.id);
+    }
+    CHECK(order == std::vector<std::string>{"begun", "long", "middle", "short"});
+}
+
+// Guards against samples that mix in text of weights the step doesn't allow.
+TEST_CASE("text of an earlier job is used only if its versions fit")
+{
+    JobSpec spec;
+    spec.items.resize(1);
+    spec.items[0].id = "i";
+    ItemText text;
+    text.events = {"e", "f"};
+    text.versions = {2, 3};
+    ItemTracker tracker(spec);
+    CHECK_FALSE(tracker.reuse(0, text, 3, false));
+    CHECK_FALSE(tracker.reuse(0, text, 2, true));
+    CHECK(tracker.reuse(0, text, 2, false));
+    CHECK_FALSE(tracker.reuse(0, text, 2, false));
+}
