Test the adapter, the controller and the network code; take an own former lease at once

After a kill of all processes the controller's lease had to lapse first, about 3.6 s. A machine's former process is gone when the next one starts, so where the holder's id names the machine its lease is taken at once. Nodes look for orphans earlier after a start.

--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -7,7 +7,7 @@
 
 namespace currantlug::cli {
 
-/// Exit codes, documented in docs/operations.md.
+/// Exit codes, documented in docs/OPERATIONS.md.
 enum class ExitCode {
     Ok = 0,
     Refused = 1, ///< The daemon understood the request and refused it, for example an invalid ticket.
--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -26,7 +26,7 @@
 
 Controller::Controller(ControllerContext context)
     : context_(std::move(context))
-    , lease_(context_.loop, context_.store, context_.node, context_.lease)
+    , lease_(context_.loop, context_.store, context_.machine, context_.lease)
     , versions_(context_.loop, context_.store, context_.kinds.versions, {},
                 [this](const objects::ObjectChange &change) {
                     const auto named = context_.kinds.parseVersion(change.object);
@@ -72,7 +72,8 @@
     }
     const bool candidate = noLeaderSince_ != Instant()
         && now - noLeaderSince_ >= context_.settings.candidateStep * context_.rank();
-    lease_.poll(candidate);
+    // The first look shows whether the lease is still this machine's.
+    lease_.poll(candidate || !lease_.seen());
     const auto token = lease_.token();
     if (token && !token_) {
         token_ = token;
--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -62,6 +62,7 @@
     /// Place of this node among the live ones in the order of their names.
     std::function<int()> rank;
     std::string node;
+    std::string machine; ///< Names the machine for the lease: no other machine has the same.
     RequestCounts &counts;
     lease::LeaseSettings lease;
     ControllerSettings settings;
--- a/src/control/leasedriver.h
+++ b/src/control/leasedriver.h
@@ -25,6 +25,8 @@
     /// The fencing token, if this node may act now.
     std::optional<std::uint64_t> token() const;
     bool holds() const { return decision_.holds(); }
+    /// True once the lease was read.
+    bool seen() const { return seen_; }
 
 private:
     void read();
@@ -37,6 +39,7 @@
     std::string node_;
     lease::LeaseDecision decision_;
     bool calling_ = false;
+    bool seen_ = false;
     bool held_ = false; ///< As last logged.
 };
 
--- a/src/lease/leasedecision.cpp
+++ b/src/lease/leasedecision.cpp
@@ -30,7 +30,7 @@
     if (held_ || !seenSince_) {
         return false;
     }
-    if (record_ && record_->holder.empty()) {
+    if (record_ && (record_->holder.empty() || isOwnFormer(*record_))) {
         return true;
     }
     return now - *seenSince_ >= holderDuration() + settings_.margin;
@@ -106,12 +106,21 @@
 Instant LeaseDecision::firstActAfterAcquiring(Instant now) const
 {
     const absl::Duration afterLapse = settings_.sendBound + settings_.tcpUserTimeout;
+    if (record_ && isOwnFormer(*record_)) {
+        return now;
+    }
     if (record_ && record_->holder.empty()) {
         return now + afterLapse;
     }
     return *seenSince_ + holderDuration() + settings_.margin + afterLapse;
 }
 
+// A write of this process whose answer was lost is among the attempts, and so not a former process's.
+bool LeaseDecision::isOwnFormer(const LeaseRecord &record) const
+{
+    return settings_.idNamesMachine && !held_ && record.holder == self_ && findAttempt(record.nonce) == nullptr;
+}
+
 // Without an object there may still be a holder: somebody may have deleted the object by hand.
 absl::Duration LeaseDecision::holderDuration() const
 {
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -20,9 +20,10 @@
 constexpr const char *NodeKind = "nodes";
 constexpr absl::Duration FastPeriod = absl::Milliseconds(100);
 constexpr absl::Duration SlowPeriod = absl::Milliseconds(1000);
-// After its start a node gives the others time to answer before it takes jobs over.
+// After its start a node looks for orphans while contact to the others comes up; an owner counts as gone only once it
+// was found restarted, refusing or silent.
 constexpr absl::Duration FirstScans[]
-    = {absl::Milliseconds(1500), absl::Milliseconds(3000), absl::Milliseconds(5000), absl::Milliseconds(8000)};
+    = {absl::Milliseconds(400), absl::Milliseconds(1000), absl::Milliseconds(2600), absl::Milliseconds(5000)};
 // An orphan may be found only after its owner counts as lost everywhere: look again.
 constexpr absl::Duration LaterScans[] = {absl::ZeroDuration(), absl::Milliseconds(1500), absl::Seconds(4)};
 // Registrations of nodes that nobody reaches for this long are removed.
@@ -101,6 +102,7 @@
     lease.margin = settings.leaseLimit * 0.2;
     lease.sendBound = settings.leaseLimit * 0.2;
     lease.tcpUserTimeout = absl::ZeroDuration();
+    lease.idNamesMachine = true;
     return lease;
 }
 
@@ -160,6 +162,7 @@
             }));
         },
         settings_.name,
+        settings_.name + "@" + settings_.controlAddress,
         counts_,
         leaseSettings(settings_),
         {}};
--- /dev/null
+++ b/tests/adapter/codectest.cpp
@@ -0,0 +1,288 @@
+// The platform's messages, written by hand, against the adapter's decoding and encoding.
+#include "codec.h"
+#include "eventdecoder.h"
+#include "frontdoor.h"
+#include "names.h"
+#include "replicaclient.h"
+#include "settingsfile.h"
+#include "storeclient.h"
+
+#include <catch2/catch.hpp>
+
+#include <map>
+
+using namespace currantlug;
+using namespace currantlug::adapter;
+
+namespace {
+
+objects::StoredObject object(const std::string &name, const std::string &json)
+{
+    objects::StoredObject object;
+    object.name = name;
+    object.revision = 9;
+    object.value = *parseJson(json);
+    return object;
+}
+
+const std::string Settings = R"({"node_name":"front-a-1","zone":"a","region":"r","zones":{"a":"r","b":"q"},
+    "listen":{"front":"10.0.0.1:80","ready":"10.0.0.1:81","control":"10.0.0.1:82","directory":"10.0.0.1:83"},
+    "seeds":["10.0.0.2:82","junk",7],"platform":{"address":"10.0.0.9:90"},
+    "cloud_api":{"address":"10.0.0.8:91","duties":["usage","autoscale"]},
+    "bounds":{"grace_s":6,"lease_ttl_ms":2000,"usage_window_s":4},"something_new":{"x":1}})";
+
+} // namespace
+
+TEST_CASE("the settings file becomes the product's settings")
+{
+    const auto settings = parseSettings(Settings);
+    REQUIRE(settings.ok());
+    CHECK(settings->name == "front-a-1");
+    CHECK(settings->regionOfZone.at("b") == "q");
+    CHECK(settings->controlAddress == "10.0.0.1:82");
+    CHECK(settings->seeds == std::vector<std::string>{"10.0.0.2:82"});
+    CHECK(settings->storeAddress == "10.0.0.9:90");
+    CHECK(settings->ordersReplicas);
+    CHECK(settings->grace == absl::Seconds(6));
+    CHECK(settings->leaseLimit == absl::Seconds(2));
+}
+
+// Guards against a process that starts half configured: every problem is named at once.
+TEST_CASE("bad settings are refused with all that is wrong")
+{
+    const auto settings = parseSettings(R"({"node_name":5,"zone":"a","listen":{"front":"nowhere"},"bounds":{}})");
+    REQUIRE_FALSE(settings.ok());
+    const std::string message(settings.status().message());
+    for (const char *field : {"node_name", "region", "zones", "listen.front", "platform"}) {
+        CHECK(message.find(field) != std::string::npos);
+    }
+    CHECK_FALSE(parseSettings("not json").ok());
+    CHECK(readSettingsFile("/nonexistent/settings").status().code() == absl::StatusCode::kNotFound);
+}
+
+TEST_CASE("a configuration is decoded")
+{
+    const auto config = parseConfig(object("main", R"({"version":7,
+        "routes":[{"name":"r1","host":"h.example","path_prefix":"/x/","kind":"safe","timeout_ms":2000,
+            "target_latency_ms":200,"priority":2,"max_attempts":2,"auth_exempt":true,
+            "traffic_split":[{"service":"s1","weight":90},{"service":"s2","weight":10}]},
+          {"name":"r2","host":"h.example","path_prefix":"/y/","kind":"rollout","service":"s1","queue_ttl_s":40.0,
+            "result_due_ms":7500,"single_version":true,"resumable":true},
+          {"name":"r3","host":"h.example","path_prefix":"/z/","kind":"something-new","service":"s1"}],
+        "services":[{"name":"s1","engine":{"models":[{"name":"m0"}]},"scaling":{"min":1,"max":8,"boot_s":4.0}},
+          {"name":"s2"}],
+        "limits":{"max_header_bytes":1000,"idle_timeout_ms":15000},
+        "tenants":[{"name":"t1","api_keys":["k1","k2"],"priority":1},{"name":"t2","api_keys":[]}]})"));
+    REQUIRE(config);
+    CHECK(config->version == 7);
+    CHECK(config->revision == 9);
+    CHECK(config->routes[0].open);
+    CHECK(config->routes[0].timeout == absl::Seconds(2));
+    CHECK(config->routes[0].services.size() == 2);
+    CHECK(config->routes[1].queueTtl == absl::Seconds(40));
+    CHECK(config->routes[1].singleVersion);
+    // What isn't known is never repeated.
+    CHECK(config->routes[2].kind == serving::RouteKind::Unsafe);
+    CHECK(config->services.at("s1").models == std::vector<std::string>{"m0"});
+    CHECK(config->services.at("s1").scaling->maximum == 8);
+    CHECK(config->workspaceOfKey("k2")->name == "t1");
+    CHECK(config->workspaceOfKey("none") == nullptr);
+    CHECK(config->limits.headerBytes == 1000);
+    CHECK_FALSE(parseConfig(object("main", R"({"version":7})")));
+    CHECK_FALSE(parseConfig(object("main", R"({"routes":[{"name":"r1"}]})")));
+}
+
+// Guards against replicas made up from what another writer left in the registry.
+TEST_CASE("a registration is read only if it names a replica")
+{
+    const std::string good = R"({"service":"s","address":"10.0.0.3:80","zone":"a","slots":12,"state":"ready",
+        "models":[{"name":"m","version":4,"adapters":[]}],"seq":44,"born":1700000000000})";
+    const auto entry = parseReplica(object("i-1", good));
+    REQUIRE(entry);
+    CHECK(entry->slots == 12);
+    CHECK_FALSE(entry->draining);
+    CHECK(entry->weightVersions.at("m") == 4);
+    CHECK(entry->bornMs == 1700000000000);
+    for (const char *bad : {R"("text")", R"({})", R"({"service":"s","address":"10.0.0.3:80","state":"unheard-of"})",
+                            R"({"service":7,"address":"10.0.0.3:80","state":"ready"})",
+                            R"({"service":"s","address":12,"state":"ready"})"}) {
+        CHECK_FALSE(parseReplica(object("i-2", bad)));
+    }
+}
+
+TEST_CASE("a job is decoded, or refused with the reason")
+{
+    serving::InboundRequest request;
+    request.id = "lot";
+    request.method = "POST";
+    request.host = "h.example";
+    request.target = "/y/lot";
+    request.body = R"({"step":3,"model":"m","min_version":2,"desired":1,"items":[{"id":"i1","path":"/y/1",
+        "headers":{"X-Length-Hint":"120"},"body":"q83vEjRWeJA=","tokens":9,"group":"g"}]})";
+    const auto spec = parseJob(request, "t1");
+    REQUIRE(spec.ok());
+    CHECK(spec->minVersion == 2);
+    CHECK(spec->items.at(0).body == "\xab\xcd\xef\x12\x34\x56\x78\x90");
+    CHECK(spec->items[0].lengthHint == 120);
+    const std::map<std::string, std::string> bad{
+        {"cut", R"({"items":[)"},
+        {"no items", R"({"items":[]})"},
+        {"items of another type", R"({"items":{"a":1}})"},
+        {"repeated id", R"({"items":[{"id":"i","path":"/p","body":""},{"id":"i","path":"/p","body":""}]})"},
+        {"body is not base64", R"({"items":[{"id":"i","path":"/p","body":"*"}]})"},
+        {"body of another type", R"({"items":[{"id":"i","path":"/p","body":5}]})"},
+        {"no path", R"({"items":[{"id":"i","body":""}]})"},
+        {"header with a line break", "{\"items\":[{\"id\":\"i\",\"path\":\"/p\",\"body\":\"\",\"headers\":{\"A\":\"x\\r\\nB: y\"}}]}"},
+    };
+    for (const auto &[name, body] : bad) {
+        CAPTURE(name);
+        request.body = body;
+        CHECK(parseJob(request, "t1").status().code() == absl::StatusCode::kInvalidArgument);
+    }
+}
+
+TEST_CASE("results are encoded in the platform's words")
+{
+    const jobs::ResultPage page{40, 13, {{"i", jobs::ResultState::Abandoned, "", {}}, {"j", {}, "a\nb", {6, 7}}}};
+    const auto json = parseJson(encodePage(page));
+    CHECK((*json)["total"] == 40);
+    CHECK((*json)["next"] == 13);
+    CHECK((*json)["results"][0]["state"] == "abandoned");
+    CHECK((*json)["results"][1]["state"] == "completed");
+    CHECK((*json)["results"][1]["versions"] == Json({6, 7}));
+}
+
+// Guards against keys at replicas, and against fields that a client forges.
+TEST_CASE("what a replica gets is built from decoded fields")
+{
+    net::HttpRequest raw;
+    raw.method = "POST";
+    raw.target = "/x/1?q=2";
+    raw.body = "bytes";
+    for (const auto &[name, value] : {std::pair{"Host", "h.example"}, {"X-Attempt-Id", "abc"},
+                                      {"X-Deadline-Ms", "1200"}, {"authorization", "Bearer secret-key"},
+                                      {"X-Tenant", "forged"}, {"X-Expect-Instance", "forged"}, {"X-Other", "kept"},
+                                      {"Connection", "X-Hop, close"}, {"X-Hop", "dropped"}, {"Te", "trailers"}}) {
+        raw.headers.add(name, value);
+    }
+    const serving::InboundRequest inbound = decodeInbound(raw);
+    CHECK(inbound.key == "secret-key");
+    CHECK(inbound.deadline == absl::Milliseconds(1200));
+    serving::OutboundRequest outbound;
+    outbound.id = inbound.id;
+    outbound.method = inbound.method;
+    outbound.target = inbound.target;
+    outbound.host = inbound.host;
+    outbound.headers = inbound.headers;
+    outbound.body = inbound.body;
+    outbound.workspace = "t1";
+    outbound.remaining = absl::Milliseconds(800);
+    outbound.resumeAfter = 4;
+    serving::Replica replica;
+    replica.entry.id = "i-1";
+    const std::string bytes = net::encodeRequest(encodeForReplica(replica, outbound));
+    CHECK(bytes.find("secret-key") == std::string::npos);
+    CHECK(bytes.find("forged") == std::string::npos);
+    CHECK(bytes.find("X-Hop") == std::string::npos);
+    for (const char *line : {"POST /x/1?q=2 HTTP/1.1\r\n", "X-Attempt-Id: abc\r\n", "X-Tenant: t1\r\n",
+                             "X-Expect-Instance: i-1\r\n", "X-Deadline-Ms: 800\r\n", "Last-Event-Id: 4\r\n",
+                             "X-Other: kept\r\n", "Content-Length: 5\r\n\r\nbytes"}) {
+        CAPTURE(line);
+        CHECK(bytes.find(line) != std::string::npos);
+    }
+}
+
+// Guards against the answer to one request being given to another, and against a false "not run".
+TEST_CASE("the head of an answer says whose it is and whether the request ran")
+{
+    const auto head = [](int status, const std::map<std::string, std::string> &fields) {
+        net::HttpResponse response;
+        response.status = status;
+        for (const auto &[name, value] : fields) {
+            response.headers.add(name, value);
+        }
+        return decodeHead("mine", response);
+    };
+    const auto good = head(200, {{"X-Attempt-Id", "mine"}, {"X-Server-Stamp", "s"}, {"X-Weight-Versions", "7"},
+                                 {"X-Server-Load", "3,1,8"}});
+    CHECK_FALSE(good.forAnotherRequest);
+    CHECK(good.weightVersion == 7);
+    CHECK(good.load->waiting == 1);
+    CHECK(head(200, {{"X-Attempt-Id", "other"}, {"X-Server-Stamp", "s"}}).forAnotherRequest);
+    CHECK(head(200, {{"X-Server-Stamp", "s"}}).forAnotherRequest);
+    CHECK(head(200, {{"X-Attempt-Id", "mine"}}).forAnotherRequest);
+    CHECK(head(503, {{"X-Not-Executed", "1"}}).notRun);
+    CHECK(head(421, {}).notRun);
+    CHECK(head(421, {}).otherInstance);
+    CHECK_FALSE(head(503, {{"X-Attempt-Id", "mine"}}).notRun);
+    CHECK_FALSE(head(500, {{"X-Attempt-Id", "mine"}}).notRun);
+}
+
+// Guards against events that are joined, lost or invented at the borders of reads.
+TEST_CASE("events are decoded in any split")
+{
+    const std::string stream = "id: 1\ndata: a\n\nx-weight-versions: 9\nid: 2\ndata: b\n\nid: 3\r\ndata: c\r\n\r\n";
+    for (std::size_t cut = 0; cut <= stream.size(); ++cut) {
+        EventDecoder decoder;
+        std::vector<serving::StreamEvent> events;
+        const auto take = [&events](serving::StreamEvent event) { events.push_back(std::move(event)); };
+        REQUIRE(decoder.feed(stream.substr(0, cut), take));
+        REQUIRE(decoder.feed(stream.substr(cut), take));
+        REQUIRE(events.size() == 3);
+        CHECK(events[0].data == "a");
+        CHECK_FALSE(events[0].weightVersion);
+        CHECK(events[1].weightVersion == 9);
+        CHECK(events[2].id == 3);
+        CHECK(events[2].data == "c");
+        CHECK(decoder.atBoundary());
+    }
+    EventDecoder half;
+    CHECK(half.feed("id: 1\ndata: a", [](const serving::StreamEvent &) {}));
+    CHECK_FALSE(half.atBoundary());
+    EventDecoder junk;
+    CHECK_FALSE(junk.feed("no event at all\n\n", [](const serving::StreamEvent &) {}));
+    EventDecoder noId;
+    CHECK_FALSE(noId.feed("data: a\n\n", [](const serving::StreamEvent &) {}));
+}
+
+// Guards against a write that is taken for refused though it may have been done.
+TEST_CASE("store answers say what was done")
+{
+    using objects::StoreOutcome;
+    const std::string stored
+        = R"({"metadata":{"name":"n","revision":5,"created":1,"finalizers":[],"deleting":false},"spec":{"a":1},"status":null})";
+    const auto done = decodeStoreReply(200, stored);
+    CHECK(done.outcome == StoreOutcome::Done);
+    CHECK(done.changes.at(0).object.revision == 5);
+    CHECK(done.changes[0].object.value["a"] == 1);
+    CHECK(decodeStoreReply(409, stored).outcome == StoreOutcome::Conflict);
+    CHECK(decodeStoreReply(404, "").outcome == StoreOutcome::NotFound);
+    CHECK(decodeStoreReply(410, "").outcome == StoreOutcome::HistoryGone);
+    CHECK(decodeStoreReply(429, "").outcome == StoreOutcome::Refused);
+    CHECK(decodeStoreReply(503, "").outcome == StoreOutcome::Refused);
+    CHECK(decodeStoreReply(500, "").outcome == StoreOutcome::Unknown);
+    const auto listed = decodeStoreReply(200, R"({"items":[)" + stored + R"(,"junk",{}],"has_more":true,"as_of":8})");
+    CHECK(listed.changes.size() == 1);
+    CHECK(listed.more);
+    CHECK(listed.asOf == 8);
+    const auto news = decodeStoreReply(200, R"({"events":[{"removed":true,"object":)" + stored + R"(}],"as_of":9})");
+    CHECK(news.changes.at(0).removed);
+    CHECK(decodeStoreReply(200, "{cut").changes.empty());
+}
+
+TEST_CASE("reports, versions and retirements are decoded")
+{
+    const auto report
+        = parseReport(R"({"stage":"mixed","models":[{"name":"m","version":3}],"busy":true,"seq":2,"running":1})");
+    REQUIRE(report);
+    CHECK(report->busy);
+    CHECK(report->ordersAccepted == 2);
+    CHECK(report->weightVersions.at("m") == 3);
+    CHECK_FALSE(parseReport("{}"));
+    CHECK(parseNamedVersion(object("m", R"({"model":"m","version":5})"))->version == 5);
+    CHECK_FALSE(parseNamedVersion(object("m", R"({"model":"m","version":"five"})")));
+    objects::StoredObject retirement = object("store-1", R"({"duration_s":10})");
+    CHECK(retiredStatus(retirement)["state"] == "completed");
+    retirement.status = {{"state", "completed"}};
+    CHECK(retiredStatus(retirement).is_null());
+}
--- /dev/null
+++ b/tests/control/controllertest.cpp
@@ -0,0 +1,192 @@
+// Two controllers on one store: only one acts, and a usage window is never reported with two figures.
+#include "control/controller.h"
+
+#include "fakes/memoryobjects.h"
+#include "fakes/runloop.h"
+
+#include <absl/time/clock.h>
+#include <catch2/catch.hpp>
+
+using namespace currantlug;
+using namespace currantlug::control;
+using namespace currantlug::tests;
+using objects::StoreOutcome;
+
+namespace {
+
+struct Report
+{
+    std::string node;
+    std::uint64_t token;
+    std::uint64_t window;
+    std::map<std::string, std::uint64_t> counts;
+};
+
+class Pair
+{
+public:
+    Pair()
+        : store(loop)
+    {
+        for (const char *name : {"a", "b"}) {
+            Member &member = members[name];
+            member.counts = std::make_unique<RequestCounts>(absl::Milliseconds(400));
+            member.table = std::make_unique<serving::ReplicaTable>(serving::ReplicaTableSettings{});
+            ControlKinds kinds{"versions", [](const objects::StoredObject &) { return std::nullopt; }, "retirements",
+                               [](const objects::StoredObject &object) {
+                                   return object.status.is_null() ? Json{{"state", "done"}} : Json();
+                               }};
+            DutyPort duties;
+            duties.reportUsage = [this, name](std::uint64_t window, const std::map<std::string, std::uint64_t> &counts,
+                                              const Holder &holder, const std::function<void(DutyReply)> &done) {
+                reports.push_back({name, holder.fencingToken, window, counts});
+                const bool lost = loseAnswers;
+                net::runAfter(loop, absl::Milliseconds(1),
+                              [done, lost] { done(lost ? DutyReply::Unknown : DutyReply::Done); });
+            };
+            jobs::PeerPort peers{[this](const std::string &node, const std::string &, const Json &body, absl::Duration,
+                                        const jobs::PeerPort::Callback &done) {
+                                     const Json reply = members[node].controller->usageOf(
+                                         body["window"].get<std::uint64_t>());
+                                     net::runAfter(loop, absl::Milliseconds(1), [done, reply] { done(reply); });
+                                 },
+                                 [name] { return std::vector<std::string>{*name == 'a' ? "b" : "a"}; },
+                                 {},
+                                 {},
+                                 {}};
+            lease::LeaseSettings lease;
+            lease.duration = absl::Milliseconds(400);
+            lease.renewEvery = absl::Milliseconds(100);
+            lease.margin = absl::Milliseconds(50);
+            lease.sendBound = absl::Milliseconds(50);
+            lease.tcpUserTimeout = absl::ZeroDuration();
+            ControllerSettings settings;
+            settings.usageGather = absl::Milliseconds(50);
+            settings.usageRetry = absl::Milliseconds(50);
+            settings.candidateStep = absl::ZeroDuration();
+            member.controller = std::make_unique<Controller>(
+                ControllerContext{loop, *member.table, store.port(), peers, duties, kinds,
+                                  []() -> const serving::GatewayConfig * { return nullptr; }, [] { return false; },
+                                  [] { return 0; }, name, std::string(name) + "@machine", *member.counts, lease, settings});
+        }
+        poll();
+    }
+
+    void poll()
+    {
+        for (auto &[name, member] : members) {
+            if (!frozen.contains(name)) {
+                member.controller->poll();
+            }
+        }
+        net::runAfter(loop, absl::Milliseconds(10), [this] { poll(); });
+    }
+
+    std::string leader() const
+    {
+        for (const auto &[name, member] : members) {
+            if (member.controller->leading()) {
+                return name;
+            }
+        }
+        return {};
+    }
+
+    struct Member
+    {
+        std::unique_ptr<RequestCounts> counts;
+        std::unique_ptr<serving::ReplicaTable> table;
+        std::unique_ptr<Controller> controller;
+    };
+    net::Loop loop;
+    MemoryObjects store;
+    std::map<std::string, Member> members;
+    std::set<std::string> frozen; ///< Nodes that stand still.
+    std::vector<Report> reports;
+    bool loseAnswers = false;
+};
+
+} // namespace
+
+// Guards against figures that lack what other nodes counted.
+TEST_CASE("a window's report sums the counts of all nodes")
+{
+    Pair pair;
+    REQUIRE(runUntil(pair.loop, [&pair] { return !pair.leader().empty(); }));
+    const absl::Time now = absl::Now();
+    pair.members["a"].counts->add("w", now);
+    pair.members["b"].counts->add("w", now);
+    pair.members["b"].counts->add("v", now);
+    REQUIRE(runUntil(pair.loop, [&pair] { return !pair.reports.empty(); }));
+    CHECK(pair.reports.front().counts == std::map<std::string, std::uint64_t>{{"v", 1}, {"w", 2}});
+}
+
+// Guards against a second report of a window with other figures, by a successor or after a lost answer, and against two
+// holders at once: tokens grow with each change of the holder.
+TEST_CASE("a successor repeats a window's figures and has a higher token")
+{
+    Pair pair;
+    REQUIRE(runUntil(pair.loop, [&pair] { return !pair.leader().empty(); }));
+    pair.loseAnswers = true;
+    const std::string first = pair.leader();
+    const std::string second = first == "a" ? "b" : "a";
+    pair.members[first].counts->add("w", absl::Now());
+    REQUIRE(runUntil(pair.loop, [&pair] { return !pair.reports.empty(); }));
+    pair.frozen.insert(first);
+    // What arrives late at a node must not change a figure that was reported.
+    const std::uint64_t window = pair.reports.front().window;
+    pair.members[second].counts->add("w", absl::UnixEpoch() + absl::Milliseconds(400) * static_cast<double>(window));
+    const auto bySecond = [&pair, &second, window] {
+        for (const Report &report : pair.reports) {
+            if (report.node == second && report.window == window) {
+                return true;
+            }
+        }
+        return false;
+    };
+    REQUIRE(runUntil(pair.loop, bySecond));
+    pair.frozen.clear();
+    runFor(pair.loop, std::chrono::milliseconds(600));
+    std::uint64_t token = 0;
+    for (const Report &report : pair.reports) {
+        CHECK(report.token >= token);
+        token = std::max(token, report.token);
+        if (report.window == window) {
+            CHECK(report.counts == pair.reports.front().counts);
+        }
+        if (report.token > pair.reports.front().token) {
+            CHECK(report.node == second);
+        }
+    }
+}
+
+// Guards against a holder that acts on while it can't renew, since its successor then acts as well.
+TEST_CASE("a holder that the store turns away stops in time")
+{
+    Pair pair;
+    REQUIRE(runUntil(pair.loop, [&pair] { return !pair.leader().empty(); }));
+    pair.store.setFault([](const std::string &, const std::string &, const std::string &) {
+        return StoreOutcome::Refused;
+    });
+    const Instant begun = net::loopNow();
+    REQUIRE(runUntil(pair.loop, [&pair] { return pair.leader().empty(); }));
+    CHECK(net::loopNow() - begun < absl::Milliseconds(700));
+    pair.store.setFault({});
+    CHECK(runUntil(pair.loop, [&pair] { return !pair.leader().empty(); }));
+}
+
+// Guards against an operator who waits for ever for a disk machine to be emptied.
+TEST_CASE("a retirement is completed")
+{
+    Pair pair;
+    REQUIRE(runUntil(pair.loop, [&pair] { return !pair.leader().empty(); }));
+    pair.store.put("retirements", "store-1", {{"duration", 5}});
+    bool completed = false;
+    CHECK(runUntil(pair.loop, [&pair, &completed] {
+        pair.store.port().get("retirements", "store-1", [&completed](const objects::StoreReply &reply) {
+            completed = !reply.changes.empty() && !reply.changes.front().object.status.is_null();
+        });
+        runFor(pair.loop, std::chrono::milliseconds(20));
+        return completed;
+    }));
+}
--- /dev/null
+++ b/tests/control/plantest.cpp
@@ -0,0 +1,218 @@
+// Plans of the controller: which weights to load, which replicas to order.
+#include "control/requestcounts.h"
+#include "control/scaleplan.h"
+#include "control/weightplan.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <random>
+
+using namespace currantlug;
+using namespace currantlug::control;
+
+namespace {
+
+Instant at(double seconds)
+{
+    return Instant(absl::Seconds(1000 + seconds));
+}
+
+std::vector<serving::Replica> replicas(int count, const std::vector<std::string> &models)
+{
+    std::vector<serving::Replica> list(static_cast<std::size_t>(count));
+    for (int i = 0; i < count; ++i) {
+        serving::ReplicaEntry &entry = list[static_cast<std::size_t>(i)].entry;
+        entry.id = "r" + std::to_string(i);
+        entry.service = "engine";
+        entry.slots = 4;
+        for (const std::string &model : models) {
+            entry.weightVersions[model] = 1;
+        }
+    }
+    return list;
+}
+
+std::vector<const serving::Replica *> pointers(const std::vector<serving::Replica> &list)
+{
+    std::vector<const serving::Replica *> result;
+    for (const serving::Replica &replica : list) {
+        result.push_back(&replica);
+    }
+    return result;
+}
+
+const std::vector<std::string> Models{"m0", "m1", "m2"};
+
+} // namespace
+
+// Guards against loads of all versions at all replicas: each replica keeps one model, evenly shared.
+TEST_CASE("replicas are shared evenly among models and keep theirs")
+{
+    WeightPlan plan;
+    auto list = replicas(11, Models);
+    plan.assign(pointers(list), Models);
+    const auto before = plan.modelByReplica();
+    std::map<std::string, int> count;
+    for (const auto &[replica, model] : before) {
+        ++count[model];
+    }
+    for (const std::string &model : Models) {
+        CHECK(count[model] >= 3);
+        CHECK(count[model] <= 4);
+    }
+    list.erase(list.begin());
+    plan.assign(pointers(list), Models);
+    for (const auto &[replica, model] : plan.modelByReplica()) {
+        CHECK(before.at(replica) == model);
+    }
+}
+
+// Load: a version is named, and at that moment the step's items arrive. Replicas one version behind serve them first;
+// those further behind can't, and load at once.
+TEST_CASE("a replica one version behind loads after the rush, others at once")
+{
+    WeightPlan plan;
+    auto list = replicas(3, {"m0"});
+    list[0].entry.weightVersions["m0"] = 2;
+    list[1].entry.weightVersions["m0"] = 2;
+    plan.assign(pointers(list), {"m0"});
+    plan.name("m0", 3, at(0));
+    const auto urgent = plan.due(pointers(list), SwapMode::Truncate, at(0.1));
+    REQUIRE(urgent.size() == 1);
+    CHECK(urgent[0].replica == "r2");
+    CHECK(urgent[0].version == 3);
+    plan.replied(urgent[0], OrderReply::AlreadyDone, at(0.2));
+    CHECK(plan.due(pointers(list), SwapMode::Truncate, at(0.3)).empty());
+    CHECK(plan.due(pointers(list), SwapMode::Truncate, at(2)).size() == 1);
+}
+
+// Guards against a late order that takes effect after newer ones: each names how many orders the replica has accepted.
+TEST_CASE("after an unclear answer the replica is asked before the next order")
+{
+    WeightPlan plan;
+    auto list = replicas(1, {"m0"});
+    plan.assign(pointers(list), {"m0"});
+    plan.name("m0", 3, at(0));
+    const auto first = plan.due(pointers(list), SwapMode::Truncate, at(0));
+    REQUIRE(first.size() == 1);
+    CHECK(first[0].ordersSeen == 0);
+    plan.replied(first[0], OrderReply::Unknown, at(0.1));
+    CHECK(plan.due(pointers(list), SwapMode::Truncate, at(1)).empty());
+    REQUIRE(plan.toAsk(at(1)) == std::vector<std::string>{"r0"});
+    plan.reported("r0", {{{"m0", 1}}, 5, false}, at(1));
+    const auto again = plan.due(pointers(list), SwapMode::Truncate, at(1.1));
+    REQUIRE(again.size() == 1);
+    CHECK(again[0].ordersSeen == 5);
+}
+
+// Guards against orders with the count of a former incarnation, which the reborn replica refuses for ever.
+TEST_CASE("a replica that started anew has accepted no orders")
+{
+    WeightPlan plan;
+    auto list = replicas(1, {"m0"});
+    plan.assign(pointers(list), {"m0"});
+    plan.name("m0", 3, at(0));
+    auto orders = plan.due(pointers(list), SwapMode::Truncate, at(0));
+    plan.replied(orders.at(0), OrderReply::Started, at(0));
+    list[0].entry.bornMs = 77;
+    orders = plan.due(pointers(list), SwapMode::Truncate, at(0.5));
+    REQUIRE(orders.size() == 1);
+    CHECK(orders[0].ordersSeen == 0);
+}
+
+// Property: whatever the replies, no more loads than allowed are under way, and in the end all have the version.
+TEST_CASE("loads end under random replies")
+{
+    for (unsigned seed = 1; seed <= 200; ++seed) {
+        CAPTURE(seed);
+        std::mt19937 random(seed);
+        WeightPlan plan;
+        auto list = replicas(7, Models);
+        std::map<std::string, std::uint64_t> accepted;
+        std::map<std::string, std::pair<WeightOrder, double>> loading;
+        for (const std::string &model : Models) {
+            plan.name(model, 2 + random() % 3, at(0));
+        }
+        double now = 0;
+        for (; now < 60; now += 0.1) {
+            for (auto it = loading.begin(); it != loading.end();) {
+                if (it->second.second > now) {
+                    ++it;
+                    continue;
+                }
+                for (serving::Replica &replica : list) {
+                    if (replica.entry.id == it->first) {
+                        replica.entry.weightVersions[it->second.first.model] = it->second.first.version;
+                    }
+                }
+                it = loading.erase(it);
+            }
+            plan.assign(pointers(list), Models);
+            const auto orders = plan.due(pointers(list), SwapMode::Truncate, at(now));
+            for (const WeightOrder &order : orders) {
+                const bool free = !loading.contains(order.replica) && accepted[order.replica] == order.ordersSeen;
+                const unsigned luck = random() % 10;
+                if (luck < 2) {
+                    plan.replied(order, OrderReply::Unknown, at(now));
+                } else {
+                    plan.replied(order, free ? OrderReply::Started : OrderReply::Busy, at(now));
+                }
+                if (free && luck != 0) {
+                    ++accepted[order.replica];
+                    loading[order.replica] = {order, now + 0.9};
+                }
+            }
+            for (const std::string &id : plan.toAsk(at(now))) {
+                ReplicaReport report;
+                for (const serving::Replica &replica : list) {
+                    if (replica.entry.id == id) {
+                        report.weightVersions = replica.entry.weightVersions;
+                    }
+                }
+                report.ordersAccepted = accepted[id];
+                report.busy = loading.contains(id);
+                plan.reported(id, report, at(now));
+            }
+        }
+        CHECK(plan.due(pointers(list), SwapMode::Truncate, at(now)).empty());
+        CHECK(loading.empty());
+    }
+}
+
+// Guards against replicas that are gone for good and never replaced, and against orders repeated while they boot.
+TEST_CASE("missing replicas are ordered once, and elsewhere where none are to be had")
+{
+    ScalePlan plan;
+    plan.setTarget({{{"engine", "z1"}, 4}, {{"engine", "z2"}, 3}});
+    const std::map<std::string, int> maximum{{"engine", 8}};
+    const ScalePlan::Counts full{{{"engine", "z1"}, 4}, {{"engine", "z2"}, 3}};
+    const ScalePlan::Counts less{{{"engine", "z1"}, 2}, {{"engine", "z2"}, 3}};
+    CHECK(plan.due(full, maximum, at(0)).empty());
+    CHECK(plan.due(less, maximum, at(1)).empty());
+    const auto orders = plan.due(less, maximum, at(2.5));
+    REQUIRE(orders.size() == 1);
+    CHECK(orders[0].availabilityZone == "z1");
+    CHECK(orders[0].desired == 4);
+    CHECK(plan.due(less, maximum, at(3)).empty());
+    plan.replied(orders[0], DutyReply::Unavailable, at(3));
+    const auto elsewhere = plan.due(less, maximum, at(3.5));
+    REQUIRE(elsewhere.size() == 1);
+    CHECK(elsewhere[0].availabilityZone == "z2");
+    CHECK(elsewhere[0].desired == 5);
+    CHECK(parseScaleCounts(toJson(plan.target())) == plan.target());
+}
+
+TEST_CASE("requests are counted in the window in which they began")
+{
+    RequestCounts counts(absl::Seconds(5));
+    const absl::Time base = absl::FromUnixSeconds(1000000000);
+    counts.add("w", base + absl::Milliseconds(4999));
+    counts.add("w", base + absl::Seconds(5));
+    counts.add("w", base + absl::Seconds(6));
+    const std::uint64_t window = counts.windowAt(base);
+    CHECK(window == 200000000);
+    CHECK(counts.of(window).at("w") == 1);
+    CHECK(counts.of(window + 1).at("w") == 2);
+    CHECK(counts.endOf(window) == base + absl::Seconds(5));
+}
--- a/tests/lease/leasetest.cpp
+++ b/tests/lease/leasetest.cpp
@@ -183,3 +183,30 @@
     const LeaseRecord record{DaemonId("a"), "b", 3, absl::Milliseconds(9000)};
     CHECK(*parseLeaseRecord(toJson(record).dump()) == record);
 }
+
+// Guards against seconds without a controller after all processes were killed: the machine's former process is gone, so
+// its lease needs no waiting. Records of other machines do.
+TEST_CASE("a machine takes its own former process's lease at once where its id names it")
+{
+    LeaseSettings settings;
+    settings.idNamesMachine = true;
+    const Instant now(absl::Seconds(50));
+    const LeaseRecord record{DaemonId("machine-1"), "nonce-of-former-process", 4, absl::Seconds(9)};
+    LeaseDecision same(DaemonId("machine-1"), settings);
+    same.observe(12, record, now);
+    REQUIRE(same.mayAcquire(now));
+    const LeaseWrite write = same.beginWrite("new-nonce", now);
+    CHECK(write.expectedVersion == 12);
+    CHECK(write.record.term == 5);
+    same.written("new-nonce", 13, now);
+    CHECK(same.mayAct(now));
+
+    LeaseDecision other(DaemonId("machine-2"), settings);
+    other.observe(12, record, now);
+    CHECK_FALSE(other.mayAcquire(now));
+
+    settings.idNamesMachine = false;
+    LeaseDecision plain(DaemonId("machine-1"), settings);
+    plain.observe(12, record, now);
+    CHECK_FALSE(plain.mayAcquire(now));
+}
--- /dev/null
+++ b/tests/net/httptest.cpp
@@ -0,0 +1,266 @@
+// Server and client over loopback: kept connections, odd answers, limits.
+#include "net/httpclient.h"
+#include "net/httpserver.h"
+
+#include "fakes/runloop.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+
+using namespace currantlug;
+using namespace currantlug::net;
+using namespace currantlug::tests;
+using boost::asio::ip::tcp;
+
+namespace {
+
+const Endpoint AnyPort(boost::asio::ip::address_v4::loopback(), 0);
+
+std::string peerOf(unsigned short port)
+{
+    return "127.0.0.1:" + std::to_string(port);
+}
+
+HttpRequest request(const std::string &target, const std::string &body = {})
+{
+    HttpRequest request;
+    request.method = body.empty() ? "GET" : "POST";
+    request.target = target;
+    request.headers.add("Host", "h");
+    request.body = body;
+    return request;
+}
+
+absl::StatusOr<HttpResponse> ask(Loop &loop, HttpClient &client, const std::string &peer, const HttpRequest &message,
+                                 ClientLimits limits = {})
+{
+    std::optional<absl::StatusOr<HttpResponse>> result;
+    ClientHandlers handlers;
+    handlers.onDone = [&result](absl::StatusOr<HttpResponse> response) { result = std::move(response); };
+    client.call(peer, message, limits, std::move(handlers));
+    REQUIRE(runUntil(loop, [&result] { return result.has_value(); }));
+    return *result;
+}
+
+/// Answers each connection with fixed bytes and then closes it, or keeps it open.
+class RawServer
+{
+public:
+    RawServer(Loop &loop, std::string answer, bool close)
+        : acceptor_(loop, AnyPort)
+        , answer_(std::move(answer))
+        , close_(close)
+    {
+        accept();
+    }
+    unsigned short port() const { return acceptor_.local_endpoint().port(); }
+    int connections = 0;
+
+private:
+    void accept()
+    {
+        acceptor_.async_accept([this](const boost::system::error_code &error, tcp::socket socket) {
+            if (error) {
+                return;
+            }
+            ++connections;
+            auto held = std::make_shared<tcp::socket>(std::move(socket));
+            auto buffer = std::make_shared<std::array<char, 4096>>();
+            held->async_read_some(boost::asio::buffer(*buffer),
+                                  [this, held, buffer](const boost::system::error_code &, std::size_t) {
+                                      boost::asio::write(*held, boost::asio::buffer(answer_));
+                                      if (!close_) {
+                                          kept_.push_back(held);
+                                      }
+                                  });
+            accept();
+        });
+    }
+
+    tcp::acceptor acceptor_;
+    std::string answer_;
+    bool close_;
+    std::vector<std::shared_ptr<tcp::socket>> kept_;
+};
+
+} // namespace
+
+TEST_CASE("requests share a kept connection and bodies arrive whole")
+{
+    Loop loop;
+    HttpServer server(loop, [](const ServerCallPtr &call) {
+        call->respond(200, {}, call->request().target + call->request().body);
+    });
+    REQUIRE(server.listen(AnyPort).ok());
+    HttpClient client(loop);
+    const std::string body(200000, 'x');
+    CHECK(ask(loop, client, peerOf(server.port()), request("/a"))->body == "/a");
+    CHECK(ask(loop, client, peerOf(server.port()), request("/b", body))->body == "/b" + body);
+    CHECK(client.connectionsOpened() == 1);
+}
+
+TEST_CASE("an answer in parts arrives as it is sent")
+{
+    Loop loop;
+    HttpServer server(loop, [](const ServerCallPtr &call) {
+        call->begin(200, {});
+        call->write("one");
+        call->write("two");
+        call->finish();
+    });
+    REQUIRE(server.listen(AnyPort).ok());
+    HttpClient client(loop);
+    CHECK(ask(loop, client, peerOf(server.port()), request("/"))->body == "onetwo");
+}
+
+// Guards against a cut answer that looks complete.
+TEST_CASE("an aborted answer is an error")
+{
+    Loop loop;
+    HttpServer server(loop, [&loop](const ServerCallPtr &call) {
+        call->begin(200, {});
+        call->write("part");
+        runAfter(loop, absl::Milliseconds(20), [call] { call->abort(); });
+    });
+    REQUIRE(server.listen(AnyPort).ok());
+    HttpClient client(loop);
+    CHECK_FALSE(ask(loop, client, peerOf(server.port()), request("/")).ok());
+}
+
+// Guards against the bytes of one answer being taken for the next one: after a complete answer more bytes came.
+TEST_CASE("a connection with bytes left over is not used again")
+{
+    Loop loop;
+    RawServer server(loop, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\naHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nb",
+                     false);
+    HttpClient client(loop);
+    CHECK(ask(loop, client, peerOf(server.port()), request("/1"))->body == "a");
+    CHECK(ask(loop, client, peerOf(server.port()), request("/2"))->body == "a");
+    CHECK(server.connections == 2);
+}
+
+// Guards against a wrong "not run": an answer cut short was sent for a request that was read.
+TEST_CASE("errors say whether a byte was sent")
+{
+    Loop loop;
+    HttpClient client(loop);
+    RawServer cut(loop, "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc", true);
+    const auto short1 = ask(loop, client, peerOf(cut.port()), request("/"));
+    REQUIRE_FALSE(short1.ok());
+    CHECK(errorContext(short1.status()).outcome == Outcome::MayHaveRun);
+    unsigned short freePort = 0;
+    {
+        tcp::acceptor closed(loop, AnyPort);
+        freePort = closed.local_endpoint().port();
+    }
+    const auto refused = ask(loop, client, peerOf(freePort), request("/"));
+    REQUIRE_FALSE(refused.ok());
+    CHECK(errorContext(refused.status()).outcome == Outcome::NotRun);
+    CHECK(ask(loop, client, "nonsense", request("/")).status().code() == absl::StatusCode::kInvalidArgument);
+}
+
+// Guards against calls that wait for ever on a connection that fell silent.
+TEST_CASE("a silent peer ends with the time limit")
+{
+    Loop loop;
+    RawServer silent(loop, "", false);
+    HttpClient client(loop);
+    ClientLimits limits;
+    limits.total = absl::Milliseconds(50);
+    CHECK(ask(loop, client, peerOf(silent.port()), request("/"), limits).status().code()
+          == absl::StatusCode::kDeadlineExceeded);
+}
+
+// Guards against an answer without a length that ends with its connection being taken for broken.
+TEST_CASE("an answer may end with its connection")
+{
+    Loop loop;
+    RawServer server(loop, "HTTP/1.1 200 OK\r\n\r\nall of it", true);
+    HttpClient client(loop);
+    CHECK(ask(loop, client, peerOf(server.port()), request("/"))->body == "all of it");
+}
+
+// Guards against smuggled and oversized requests reaching a handler.
+TEST_CASE("unreadable requests are refused and not handled")
+{
+    Loop loop;
+    int handled = 0;
+    HttpServer server(loop, [&handled](const ServerCallPtr &call) {
+        ++handled;
+        call->respond(200, {}, "");
+    });
+    ServerLimits limits;
+    limits.headerBytes = 1024;
+    limits.bodyBytes = 100;
+    server.setLimits(limits);
+    REQUIRE(server.listen(AnyPort).ok());
+    const auto statusOf = [&loop, &server](const std::string &bytes) {
+        tcp::socket socket(loop);
+        socket.connect(Endpoint(boost::asio::ip::address_v4::loopback(), server.port()));
+        boost::asio::write(socket, boost::asio::buffer(bytes));
+        std::string answer(12, ' ');
+        bool done = false;
+        boost::asio::async_read(socket, boost::asio::buffer(answer),
+                                [&done](const boost::system::error_code &, std::size_t) { done = true; });
+        REQUIRE(runUntil(loop, [&done] { return done; }));
+        return answer.substr(9, 3);
+    };
+    CHECK(statusOf("nonsense\r\n\r\n") == "400");
+    CHECK(statusOf("POST / HTTP/1.1\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n") == "400");
+    CHECK(statusOf("POST / HTTP/1.1\r\nContent-Length: 101\r\n\r\n") == "413");
+    CHECK(statusOf("GET / HTTP/1.1\r\nX: " + std::string(2000, 'x') + "\r\n\r\n") == "431");
+    CHECK(handled == 0);
+}
+
+// Guards against work for a client that has closed its connection.
+TEST_CASE("a handler learns that its client has gone")
+{
+    Loop loop;
+    bool gone = false;
+    ServerCallPtr held;
+    HttpServer server(loop, [&gone, &held](const ServerCallPtr &call) {
+        held = call;
+        call->onClientGone([&gone] { gone = true; });
+    });
+    REQUIRE(server.listen(AnyPort).ok());
+    HttpClient client(loop);
+    const CallId id = client.call(peerOf(server.port()), request("/"), {}, {});
+    REQUIRE(runUntil(loop, [&held] { return held != nullptr; }));
+    client.cancel(id);
+    CHECK(runUntil(loop, [&gone] { return gone; }));
+    CHECK(server.openCalls() == 0);
+    held->respond(200, {}, "too late");
+}
+
+// Guards against a planned stop that cuts a request: the answer goes out and asks the client to leave.
+TEST_CASE("a server that stops answers what it has read and closes")
+{
+    Loop loop;
+    ServerCallPtr held;
+    HttpServer server(loop, [&held](const ServerCallPtr &call) { held = call; });
+    REQUIRE(server.listen(AnyPort).ok());
+    HttpClient client(loop);
+    std::optional<absl::StatusOr<HttpResponse>> result;
+    ClientHandlers handlers;
+    handlers.onDone = [&result](absl::StatusOr<HttpResponse> response) { result = std::move(response); };
+    client.call(peerOf(server.port()), request("/"), {}, std::move(handlers));
+    REQUIRE(runUntil(loop, [&held] { return held != nullptr; }));
+    server.startClosing();
+    server.stopAccepting();
+    held->respond(200, {}, "done");
+    REQUIRE(runUntil(loop, [&result] { return result.has_value(); }));
+    REQUIRE(result->ok());
+    CHECK((*result)->headers.valueOr("Connection", "") == "close");
+}
+
+TEST_CASE("queries are decoded")
+{
+    CHECK(queryValue("/p?a=1&name=x%20y", "name") == "x y");
+    CHECK(queryValue("/p?a", "a") == "");
+    CHECK_FALSE(queryValue("/p?ab=1", "a"));
+    CHECK(pathOf("/p?a=1") == "/p");
+    CHECK(percentEncode("a/b c") == "a%2Fb%20c");
+}
--- /dev/null
+++ b/tests/serving/replicatabletest.cpp
@@ -0,0 +1,171 @@
+// Choice among replicas, and the configuration's look-ups.
+#include "serving/gatewayconfig.h"
+#include "serving/replicatable.h"
+
+#include <catch2/catch.hpp>
+
+using namespace currantlug;
+using namespace currantlug::serving;
+
+namespace {
+
+const Instant Now(absl::Seconds(100));
+
+ReplicaEntry entry(const std::string &id, const std::string &zone = "z1")
+{
+    ReplicaEntry entry;
+    entry.id = id;
+    entry.service = "s";
+    entry.availabilityZone = zone;
+    entry.slots = 2;
+    entry.weightVersions["m"] = 3;
+    return entry;
+}
+
+ReplicaTable table()
+{
+    ReplicaTableSettings settings;
+    settings.availabilityZone = "z1";
+    settings.region = "here";
+    settings.regionOfZone = {{"z1", "here"}, {"z2", "here"}, {"z3", "there"}};
+    return ReplicaTable(settings);
+}
+
+ReplicaTable::ItemNeed need(std::uint64_t minVersion = 1)
+{
+    ReplicaTable::ItemNeed need;
+    need.service = "s";
+    need.model = "m";
+    need.minVersion = minVersion;
+    return need;
+}
+
+} // namespace
+
+// Guards against new work for a replica that leaves, and against a return to one that has gone.
+TEST_CASE("draining and removed replicas get no requests")
+{
+    ReplicaTable replicas = table();
+    replicas.update(entry("a"));
+    ReplicaEntry leaving = entry("b");
+    leaving.draining = true;
+    replicas.update(leaving);
+    CHECK(replicas.chooseForRequest("s", {}, Now)->entry.id == "a");
+    CHECK(replicas.chooseForRequest("s", {"a"}, Now) == nullptr);
+    replicas.remove("a", false, Now);
+    CHECK(replicas.chooseForRequest("s", {}, Now) == nullptr);
+    CHECK(replicas.chooseForItem(need(), {}, Now) == nullptr);
+}
+
+// Guards against a service that loses all its replicas because the registry was away for a moment.
+TEST_CASE("entries that an unsteady registry lost count for two seconds more")
+{
+    ReplicaTable replicas = table();
+    replicas.update(entry("a"));
+    replicas.remove("a", true, Now);
+    CHECK(replicas.chooseForRequest("s", {}, Now + absl::Seconds(2)) != nullptr);
+    CHECK(replicas.chooseForRequest("s", {}, Now + absl::Seconds(2.5)) == nullptr);
+    replicas.update(entry("a"));
+    replicas.expire(Now + absl::Seconds(5));
+    CHECK(replicas.chooseForRequest("s", {}, Now + absl::Seconds(5)) != nullptr);
+}
+
+// Guards against what was learnt of a former incarnation being held against the next one.
+TEST_CASE("a replica reborn under its id starts without a record")
+{
+    ReplicaTable replicas = table();
+    replicas.update(entry("a"));
+    replicas.failed(*replicas.find("a"), Now);
+    replicas.find("a")->eventGap = absl::Milliseconds(200);
+    ReplicaEntry reborn = entry("a");
+    reborn.bornMs = 5;
+    replicas.update(reborn);
+    CHECK(replicas.find("a")->failures == 0);
+    CHECK(replicas.find("a")->eventGap == absl::ZeroDuration());
+}
+
+// Load: one replica resets the twelve streams that it runs. That is one failure, not twelve.
+TEST_CASE("requests that fail together are one failure")
+{
+    ReplicaTable replicas = table();
+    replicas.update(entry("a"));
+    Replica &replica = *replicas.find("a");
+    for (int i = 0; i < 12; ++i) {
+        replicas.failed(replica, Now);
+    }
+    CHECK(replica.failures == 1);
+    CHECK(replica.avoidUntil == Now + absl::Milliseconds(300));
+}
+
+// Load: eight items for two replicas of two slots each.
+TEST_CASE("items take free slots only, and replicas with weights that fit")
+{
+    ReplicaTable replicas = table();
+    replicas.update(entry("a"));
+    replicas.update(entry("b"));
+    for (int i = 0; i < 4; ++i) {
+        Replica *replica = replicas.chooseForItem(need(), {}, Now);
+        REQUIRE(replica != nullptr);
+        ++replica->inFlight;
+    }
+    CHECK(replicas.chooseForItem(need(), {}, Now) == nullptr);
+    replicas.find("a")->inFlight = 0;
+    CHECK(replicas.chooseForItem(need(4), {}, Now) == nullptr);
+    ReplicaTable::ItemNeed exact = need();
+    exact.exactVersion = 2;
+    CHECK(replicas.chooseForItem(exact, {}, Now) == nullptr);
+}
+
+// Load: one of three replicas has become four times as slow. Items go there only when nothing else is free.
+TEST_CASE("slow replicas come last and are tried again later")
+{
+    ReplicaTable replicas = table();
+    for (const char *id : {"a", "b", "c"}) {
+        replicas.update(entry(id));
+        replicas.find(id)->eventGap = absl::Milliseconds(*id == 'a' ? 160 : 40);
+        replicas.find(id)->lastEventAt = Now;
+    }
+    for (int i = 0; i < 4; ++i) {
+        Replica *replica = replicas.chooseForItem(need(), {}, Now);
+        REQUIRE(replica != nullptr);
+        CHECK(replica->entry.id != "a");
+        ++replica->inFlight;
+    }
+    CHECK(replicas.chooseForItem(need(), {}, Now)->entry.id == "a");
+    replicas.expire(Now + absl::Seconds(4));
+    CHECK(replicas.find("a")->eventGap == absl::ZeroDuration());
+}
+
+// Guards against requests that cross regions though a near replica is free.
+TEST_CASE("near replicas come first")
+{
+    ReplicaTable replicas = table();
+    replicas.update(entry("a", "z3"));
+    replicas.update(entry("b", "z1"));
+    CHECK(replicas.chooseForRequest("s", {}, Now)->entry.id == "b");
+    replicas.failed(*replicas.find("b"), Now);
+    CHECK(replicas.chooseForRequest("s", {}, Now)->entry.id == "a");
+}
+
+TEST_CASE("the route with the longest prefix of the path is taken")
+{
+    GatewayConfig config;
+    for (const char *prefix : {"/a/", "/a/b/", "/c/"}) {
+        Route route;
+        route.name = prefix;
+        route.host = "h.example";
+        route.pathPrefix = prefix;
+        route.services = {{"x", 1}, {"y", 3}};
+        config.routes.push_back(route);
+    }
+    CHECK(config.match("h.example", "/a/b/c")->name == "/a/b/");
+    CHECK(config.match("H.Example:8080", "/a/x")->name == "/a/");
+    CHECK(config.match("h.example", "/a") == nullptr);
+    CHECK(config.match("other.example", "/a/") == nullptr);
+    int toY = 0;
+    for (int i = 0; i < 1000; ++i) {
+        toY += GatewayConfig::pickService(config.routes[0], std::to_string(i)) == "y" ? 1 : 0;
+    }
+    CHECK(toY > 650);
+    CHECK(toY < 850);
+}
