Hand the lease over when turned away; read it all the time at the first standby; place by speed

Change: a controller that the store turns away releases the lease through a peer and doesn't return within 1.5 times the platform's bound; the first standby reads the lease all the time; replicas are ranked by speed class, long runs move to faster ones; the pause between watches of replicas is 1.2 s.

--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -70,10 +70,21 @@
     } else if (noLeaderSince_ == Instant()) {
         noLeaderSince_ = now;
     }
-    const bool candidate = noLeaderSince_ != Instant()
-        && now - noLeaderSince_ >= context_.settings.candidateStep * context_.rank();
+    const bool storeAnswers = context_.storeAnswers();
+    if (lease_.holds() && !storeAnswers && !context_.peers.live().empty()) {
+        // A controller that the store turns away hears of nothing: another node takes over at once.
+        release();
+        return;
+    }
+    // The first in rank looks at the lease all the time, so that it need not wait for a whole lease to lapse once the
+    // holder is gone.
+    const int rank = context_.rank();
+    const bool mayReturn = releasedAt_ == Instant() || now - releasedAt_ >= context_.settings.returnAfter;
+    const bool candidate = storeAnswers && mayReturn
+        && (rank == 0
+            || (noLeaderSince_ != Instant() && now - noLeaderSince_ >= context_.settings.candidateStep * rank));
     // The first look shows whether the lease is still this machine's.
-    lease_.poll(candidate || !lease_.seen());
+    lease_.poll(candidate || (storeAnswers && mayReturn && !lease_.seen()));
     const auto token = lease_.token();
     if (token && !token_) {
         token_ = token;
@@ -106,6 +117,9 @@
 
 void Controller::release()
 {
+    if (lease_.holds()) {
+        releasedAt_ = net::loopNow();
+    }
     lease_.release();
     token_.reset();
     stopLeading();
--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -45,6 +45,9 @@
     int usageCatchUp = 4; ///< Windows before the present one that a new controller still reports.
     absl::Duration scalePeriod = absl::Milliseconds(500);
     absl::Duration targetAfter = absl::Seconds(3); ///< The first controller takes what serves then as the target.
+    /// A node that gave the lease up doesn't take it again sooner: within the platform's bound of three seconds two holders
+    /// must not act in turn.
+    absl::Duration returnAfter = absl::Milliseconds(4500);
     absl::Duration candidateStep = absl::Milliseconds(700); ///< Nodes try for the lease one after the other.
 };
 
@@ -59,8 +62,10 @@
     std::function<const serving::GatewayConfig *()> config;
     /// True if a live node says that it leads.
     std::function<bool()> otherLeads;
-    /// Place of this node among the live ones in the order of their names.
+    /// Place of this node among the live ones that don't lead, in the order of their names.
     std::function<int()> rank;
+    /// True if the store answers this node itself.
+    std::function<bool()> storeAnswers;
     std::string node;
     std::string machine; ///< Names the machine for the lease: no other machine has the same.
     RequestCounts &counts;
@@ -119,6 +124,7 @@
     objects::ObjectMirror retirements_;
     std::optional<std::uint64_t> token_; ///< While this node leads.
     Instant leadingSince_;
+    Instant releasedAt_; ///< The origin before the first release.
     Instant noLeaderSince_; ///< The origin while another node leads.
     Instant lastScale_;
     bool targetLoaded_ = false;
--- a/src/control/leasedriver.cpp
+++ b/src/control/leasedriver.cpp
@@ -13,6 +13,8 @@
 
 constexpr const char *LeaseKind = "leases";
 constexpr const char *LeaseName = "controller";
+// Each read is paid for; a lease lapses after a few of these.
+constexpr absl::Duration ReadPeriod = absl::Milliseconds(800);
 
 } // namespace
 
@@ -39,7 +41,7 @@
         if (decision_.renewalDue(net::loopNow())) {
             write();
         }
-    } else if (candidate) {
+    } else if (candidate && net::loopNow() - lastRead_ >= ReadPeriod) {
         read();
     }
 }
@@ -47,6 +49,7 @@
 void LeaseDriver::read()
 {
     calling_ = true;
+    lastRead_ = net::loopNow();
     store_.get(LeaseKind, LeaseName, [this](const StoreReply &reply) {
         calling_ = false;
         observe(reply);
--- a/src/control/leasedriver.h
+++ b/src/control/leasedriver.h
@@ -38,6 +38,7 @@
     objects::ObjectPort store_;
     std::string node_;
     lease::LeaseDecision decision_;
+    Instant lastRead_;
     bool calling_ = false;
     bool seen_ = false;
     bool held_ = false; ///< As last logged.
--- a/src/jobs/jobrunner.cpp
+++ b/src/jobs/jobrunner.cpp
@@ -17,7 +17,11 @@
 constexpr double GapSmoothing = 0.15; // Weight of the newest gap.
 // Longer gaps are pauses (weights being loaded), not the replica's speed.
 constexpr absl::Duration LongestMeasuredGap = absl::Milliseconds(500);
-constexpr double SlowFactor = 1.8; // A run moves off a replica that is slower than the best by this factor.
+// A run moves off a replica that is slower than the best by this factor; a long run by the smaller one, since a step
+// waits for it and a move costs about the time of one event.
+constexpr double SlowFactor = 1.8;
+constexpr double LongRunFactor = 1.2;
+constexpr std::size_t LongRunEvents = 30;
 constexpr absl::Duration VersionPause = absl::Milliseconds(50);
 
 } // namespace
@@ -373,11 +377,13 @@
             need.exactVersion = item.text.versions.front();
         }
         const absl::Duration best = context_.replicas.bestEventGap(need);
-        if (best == absl::ZeroDuration() || replica->eventGap <= best * SlowFactor) {
+        const double factor = item.text.events.size() >= LongRunEvents ? LongRunFactor : SlowFactor;
+        if (best == absl::ZeroDuration() || replica->eventGap <= best * factor) {
             continue;
         }
         const serving::Replica *other = context_.replicas.chooseForItem(need, {item.replica}, now);
-        if (other != nullptr && other->eventGap > absl::ZeroDuration() && other->eventGap <= best * SlowFactor) {
+        if (other != nullptr && other->eventGap > absl::ZeroDuration()
+            && other->eventGap * factor < replica->eventGap) {
             ++item.moves;
             requeue(index, "slow replica", absl::ZeroDuration());
         }
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -40,7 +40,7 @@
 {
     objects::MirrorSettings settings;
     // Replicas that leave must be known within 2.5 s; each call is paid for.
-    settings.pause = absl::Milliseconds(900);
+    settings.pause = absl::Milliseconds(1200);
     return settings;
 }
 
@@ -146,7 +146,7 @@
     control::ControllerContext context{
         loop,
         replicas_,
-        binding_.store,
+        relayedStore(),
         peers,
         binding_.duties,
         binding_.controlKinds,
@@ -156,16 +156,18 @@
             return std::any_of(contacts.begin(), contacts.end(), [](const NodeInfo &node) { return node.leading; });
         },
         [this] {
-            const std::vector<std::string> live = mesh_.live();
-            return static_cast<int>(std::count_if(live.begin(), live.end(), [this](const std::string &name) {
-                return name < settings_.name;
+            const auto contacts = mesh_.contacts();
+            return static_cast<int>(std::count_if(contacts.begin(), contacts.end(), [this](const NodeInfo &node) {
+                return node.name < settings_.name && !node.leading && !node.stopping && node.storeReached;
             }));
         },
+        [this] { return storeReached(); },
         settings_.name,
         settings_.name + "@" + settings_.controlAddress,
         counts_,
         leaseSettings(settings_),
         {}};
+    context.settings.returnAfter = settings_.leaseLimit * 1.5;
     controller_ = std::make_unique<control::Controller>(std::move(context));
     mesh_.setHandler([this](const std::string &method, const Json &body, std::function<void(Json)> reply) {
         return peerCall(method, body, std::move(reply));
--- a/src/serving/replicatable.cpp
+++ b/src/serving/replicatable.cpp
@@ -8,9 +8,19 @@
 
 namespace {
 
-// A replica this much slower than the best one is used only when nothing else is free.
+// Replicas of a service differ in speed. Up to the first factor they count as equal, since the measure is noisy; from
+// the second on something is wrong with them.
+constexpr double EqualFactor = 1.15;
 constexpr double SlowFactor = 1.8;
 
+int speedClass(absl::Duration gap, absl::Duration best)
+{
+    if (best == absl::ZeroDuration() || gap <= best * EqualFactor) {
+        return 0;
+    }
+    return gap <= best * SlowFactor ? 1 : 2;
+}
+
 } // namespace
 
 void ReplicaTable::update(ReplicaEntry entry)
@@ -101,7 +111,7 @@
 {
     const absl::Duration bestGap = bestEventGap(need);
     Replica *best = nullptr;
-    std::tuple<bool, bool, bool, bool, int, int> bestRank;
+    std::tuple<int, bool, bool, bool, int, int> bestRank;
     for (auto &[id, replica] : replicas_) {
         const bool loading = replica.orderedModel == need.model && replica.orderedUntil > now;
         if (!canRun(replica, need) || replica.gone <= now || replica.avoidUntil > now || loading
@@ -113,11 +123,10 @@
             const auto found = need.plan->find(id);
             planned = found != need.plan->end() && found->second == need.model;
         }
-        const bool slow = bestGap > absl::ZeroDuration() && replica.eventGap > bestGap * SlowFactor;
         // The group's replica is preferred over an emptier one until it is half full.
         const bool elsewhere = id != need.preferred || replica.inFlight * 2 > replica.entry.slots;
-        const std::tuple<bool, bool, bool, bool, int, int> rank{
-            slow, !planned, replica.entry.spot, elsewhere, replica.inFlight, distance(replica)};
+        const std::tuple<int, bool, bool, bool, int, int> rank{
+            speedClass(replica.eventGap, bestGap), !planned, replica.entry.spot, elsewhere, replica.inFlight, distance(replica)};
         if (best == nullptr || rank < bestRank) {
             best = &replica;
             bestRank = rank;
--- a/tests/control/controllertest.cpp
+++ b/tests/control/controllertest.cpp
@@ -64,10 +64,11 @@
             settings.usageGather = absl::Milliseconds(50);
             settings.usageRetry = absl::Milliseconds(50);
             settings.candidateStep = absl::ZeroDuration();
+            settings.returnAfter = absl::Milliseconds(1200);
             member.controller = std::make_unique<Controller>(
                 ControllerContext{loop, *member.table, store.port(), peers, duties, kinds,
                                   []() -> const serving::GatewayConfig * { return nullptr; }, [] { return false; },
-                                  [] { return 0; }, name, std::string(name) + "@machine", *member.counts, lease, settings});
+                                  [] { return 0; }, [this, name] { return !turnedAway.contains(name); }, name, std::string(name) + "@machine", *member.counts, lease, settings});
         }
         poll();
     }
@@ -101,6 +102,7 @@
     net::Loop loop;
     MemoryObjects store;
     std::map<std::string, Member> members;
+    std::set<std::string> turnedAway; ///< Nodes whose own way to the store is closed.
     std::set<std::string> frozen; ///< Nodes that stand still.
     std::vector<Report> reports;
     bool loseAnswers = false;
@@ -175,6 +177,22 @@
     CHECK(runUntil(pair.loop, [&pair] { return !pair.leader().empty(); }));
 }
 
+// Guards against seconds without a controller, and against two holders that take turns: A, B, A.
+TEST_CASE("a controller that the store turns away hands over and does not come back at once")
+{
+    Pair pair;
+    REQUIRE(runUntil(pair.loop, [&pair] { return !pair.leader().empty(); }));
+    const std::string first = pair.leader();
+    const std::string second = first == "a" ? "b" : "a";
+    const Instant begun = net::loopNow();
+    pair.turnedAway.insert(first);
+    REQUIRE(runUntil(pair.loop, [&pair, &second] { return pair.leader() == second; }));
+    CHECK(net::loopNow() - begun < absl::Milliseconds(1500));
+    pair.turnedAway = {second};
+    REQUIRE(runUntil(pair.loop, [&pair, &first] { return pair.leader() == first; }));
+    CHECK(net::loopNow() - begun >= absl::Milliseconds(1200));
+}
+
 // Guards against an operator who waits for ever for a disk machine to be emptied.
 TEST_CASE("a retirement is completed")
 {
