--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -145,7 +145,9 @@
     if (config == nullptr || !versions_.synced()) {
         return;
     }
-    for (const auto &[name, service] : config->services) {
+    for (const auto &entry : config->services) {
+        const std::string &name = entry.first;
+        const serving::Service &service = entry.second;
         if (service.models.empty()) {
             continue;
         }
@@ -364,24 +366,23 @@
     report.waiting = static_cast<int>(nodes.size());
     report.gathered = nodes.empty();
     for (const std::string &node : nodes) {
-        context_.peers.call(node, "usage/counts", {{"window", window}}, context_.settings.usageGatherTimeout,
-                            [this, window, node](const absl::StatusOr<Json> &reply) {
-                                const auto found = reports_.find(window);
-                                if (found == reports_.end() || found->second.gathered) {
-                                    return;
-                                }
-                                WindowReport &open = found->second;
-                                if (!reply.ok()) {
-                                    telemetry::log(Level::Warning, "usage", "counts_missing",
-                                                   {{"window", window}, {"node", node}});
-                                } else if (reply->contains("counts")) {
-                                    for (const auto &[workspace, count] : (*reply)["counts"].items()) {
-                                        open.counts[workspace]
-                                            += count.is_number_unsigned() ? count.get<std::uint64_t>() : 0;
-                                    }
-                                }
-                                open.gathered = --open.waiting == 0;
-                            });
+        context_.peers.call(
+            node, "usage/counts", {{"window", window}}, context_.settings.usageGatherTimeout,
+            [this, window, node](const absl::StatusOr<Json> &reply) {
+                const auto found = reports_.find(window);
+                if (found == reports_.end() || found->second.gathered) {
+                    return;
+                }
+                WindowReport &open = found->second;
+                if (!reply.ok()) {
+                    telemetry::log(Level::Warning, "usage", "counts_missing", {{"window", window}, {"node", node}});
+                } else if (reply->contains("counts")) {
+                    for (const auto &[workspace, count] : (*reply)["counts"].items()) {
+                        open.counts[workspace] += count.is_number_unsigned() ? count.get<std::uint64_t>() : 0;
+                    }
+                }
+                open.gathered = --open.waiting == 0;
+            });
     }
 }
 
@@ -455,17 +456,15 @@
         return;
     }
     // Nothing of the product lies on the disk machines, so they are empty at any time.
-    context_.store.replaceStatus(context_.kinds.retirements, change.object.name, change.object.revision, status,
-                                 [this, change](const StoreReply &reply) {
-                                     telemetry::log(Level::Info, "retirement", "completed",
-                                                    {{"machine", change.object.name},
-                                                     {"outcome", nameOf(reply.outcome)}});
-                                     if (reply.outcome != StoreOutcome::Done && reply.outcome != StoreOutcome::Conflict
-                                         && token_) {
-                                         net::runAfter(context_.loop, absl::Milliseconds(500),
-                                                       [this, change] { onRetirement(change); });
-                                     }
-                                 });
+    context_.store.replaceStatus(
+        context_.kinds.retirements, change.object.name, change.object.revision, status,
+        [this, change](const StoreReply &reply) {
+            telemetry::log(Level::Info, "retirement", "completed",
+                           {{"machine", change.object.name}, {"outcome", nameOf(reply.outcome)}});
+            if (reply.outcome != StoreOutcome::Done && reply.outcome != StoreOutcome::Conflict && token_) {
+                net::runAfter(context_.loop, absl::Milliseconds(500), [this, change] { onRetirement(change); });
+            }
+        });
 }
 
 } // namespace currantlug::control
--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -45,8 +45,8 @@
     int usageCatchUp = 4; ///< Windows before the present one that a new controller still reports.
     absl::Duration scalePeriod = absl::Milliseconds(500);
     absl::Duration targetAfter = absl::Seconds(3); ///< The first controller takes what serves then as the target.
-    /// A node that gave the lease up doesn't take it again sooner: within the platform's bound of three seconds two holders
-    /// must not act in turn.
+    /// A node that gave the lease up doesn't take it again sooner: within the platform's bound of three seconds two
+    /// holders must not act in turn.
     absl::Duration returnAfter = absl::Milliseconds(4500);
     absl::Duration candidateStep = absl::Milliseconds(700); ///< Nodes try for the lease one after the other.
 };
--- a/src/control/weightplan.cpp
+++ b/src/control/weightplan.cpp
@@ -82,8 +82,8 @@
         modelByReplica_[replica->entry.id] = *best;
         ++count[*best];
     }
-    const auto [fewest, most] = std::minmax_element(
-        count.begin(), count.end(), [](const auto &a, const auto &b) { return a.second < b.second; });
+    const auto [fewest, most] = std::minmax_element(count.begin(), count.end(),
+                                                    [](const auto &a, const auto &b) { return a.second < b.second; });
     if (most->second - fewest->second < 2) {
         return;
     }
@@ -119,8 +119,7 @@
     for (const serving::Replica *replica : replicas) {
         forgetFormerIncarnation(replica->entry);
         const auto load = loads_.find(replica->entry.id);
-        if (load != loads_.end()
-            && versionOf(*replica, load->second.order.model) >= load->second.order.version) {
+        if (load != loads_.end() && versionOf(*replica, load->second.order.model) >= load->second.order.version) {
             loads_.erase(load);
         }
     }
--- a/src/jobs/job.cpp
+++ b/src/jobs/job.cpp
@@ -186,10 +186,8 @@
 
 Json headToJson(const JobSpec &spec)
 {
-    return {{"model", spec.model},
-            {"step", spec.step},
-            {"min_version", spec.minVersion},
-            {"desired", spec.desiredGroups}};
+    return {
+        {"model", spec.model}, {"step", spec.step}, {"min_version", spec.minVersion}, {"desired", spec.desiredGroups}};
 }
 
 bool readHead(const Json &value, JobSpec &spec)
--- /dev/null
+++ b/src/jobs/jobreading.cpp
@@ -0,0 +1,281 @@
+// Reads of results and bodies, at the owner, through it, or from the store.
+#include "jobs/jobservice.h"
+
+#include "core/hash.h"
+#include "jobs/jobservicenames.h"
+#include "telemetry/log.h"
+
+#include <absl/time/clock.h>
+
+#include <algorithm>
+
+namespace currantlug::jobs {
+
+using namespace detail;
+using objects::StoreOutcome;
+using objects::StoreReply;
+using telemetry::Level;
+
+namespace {
+
+void logReadFailure(const std::string &jobId, std::string_view what, const StoreReply &reply)
+{
+    telemetry::log(Level::Warning, "job", "read_failed",
+                   {{"job", jobId},
+                    {"what", what},
+                    {"outcome", nameOf(reply.outcome)},
+                    {"http_status", reply.httpStatus},
+                    {"objects", reply.changes.size()}});
+}
+
+} // namespace
+
+// Reading
+
+void JobService::withRecord(const std::string &jobId, bool fresh, RecordCallback done)
+{
+    if (const auto known = known_.find(jobId); !fresh && known != known_.end()) {
+        done(ReadOutcome::Found, &known->second);
+        return;
+    }
+    context_.store.get(RecordKind, jobId, [this, jobId, done = std::move(done)](const StoreReply &reply) {
+        if (reply.outcome == StoreOutcome::NotFound) {
+            done(ReadOutcome::NotFound, nullptr);
+            return;
+        }
+        const bool usable = reply.outcome == StoreOutcome::Done && !reply.changes.empty();
+        const auto record = usable ? parseJobRecord(jobId, reply.changes.front().object.value) : std::nullopt;
+        if (!record) {
+            done(ReadOutcome::Unsure, nullptr);
+            return;
+        }
+        Known &known = known_[jobId];
+        known = {*record, reply.changes.front().object.revision, dropTime(record->submittedMs)};
+        done(ReadOutcome::Found, &known);
+    });
+}
+
+void JobService::read(const std::string &jobId, const std::string &workspace, std::uint64_t after, absl::Duration wait,
+                      PageCallback done)
+{
+    const auto owned = owned_.find(jobId);
+    if (owned == owned_.end()) {
+        readRemote(jobId, workspace, after, wait, false, std::move(done));
+    } else if (owned->second->record.workspace != workspace) {
+        done(ReadOutcome::NotFound, {});
+    } else {
+        readOwned(*owned->second, after, wait, std::move(done));
+    }
+}
+
+void JobService::readOwned(Owned &owned, std::uint64_t after, absl::Duration wait, PageCallback done)
+{
+    const ResultLog &log = owned.runner->log();
+    if (after < log.size() || owned.runner->stopped() || owned.runner->complete() || wait <= absl::ZeroDuration()) {
+        done(ReadOutcome::Found, log.page(after, owned.record.total, context_.settings.pageBytes));
+        return;
+    }
+    owned.waiters.push_back({after, net::loopNow() + wait, std::move(done)});
+}
+
+void JobService::serveWaiters(const std::string &jobId)
+{
+    const auto found = owned_.find(jobId);
+    if (found == owned_.end()) {
+        return;
+    }
+    Owned &owned = *found->second;
+    const Instant now = net::loopNow();
+    std::vector<Waiter> kept;
+    std::vector<Waiter> ready;
+    for (Waiter &waiter : owned.waiters) {
+        const bool due = waiter.after < owned.runner->log().size() || waiter.until <= now || owned.runner->stopped()
+            || owned.runner->complete();
+        (due ? ready : kept).push_back(std::move(waiter));
+    }
+    owned.waiters = std::move(kept);
+    for (const Waiter &waiter : ready) {
+        waiter.done(ReadOutcome::Found,
+                    owned.runner->log().page(waiter.after, owned.record.total, context_.settings.pageBytes));
+    }
+}
+
+void JobService::readRemote(const std::string &jobId, const std::string &workspace, std::uint64_t after,
+                            absl::Duration wait, bool fresh, PageCallback done)
+{
+    withRecord(jobId, fresh, [=, this, done = std::move(done)](ReadOutcome outcome, const Known *known) {
+        if (known == nullptr || known->record.workspace != workspace) {
+            done(known == nullptr ? outcome : ReadOutcome::NotFound, {});
+            return;
+        }
+        const JobRecord record = known->record;
+        const bool ownerAlive = context_.peers.isAlive(record.owner, record.ownerIncarnation);
+        if (!ownerAlive && !fresh && !record.ended) {
+            // The owner may have changed since the record was read.
+            readRemote(jobId, workspace, after, wait, true, done);
+            return;
+        }
+        if (!ownerAlive) {
+            readStored(record, after, done);
+            return;
+        }
+        const Json call{
+            {"job", jobId}, {"workspace", workspace}, {"after", after}, {"wait_ms", absl::ToInt64Milliseconds(wait)}};
+        context_.peers.call(record.owner, ReadMethod, call, wait + context_.settings.peerTimeout,
+                            [=, this](absl::StatusOr<Json> reply) {
+                                auto page = reply.ok() && reply->value("found", false)
+                                    ? parseResultPage((*reply)["page"])
+                                    : std::nullopt;
+                                if (page) {
+                                    done(ReadOutcome::Found, std::move(*page));
+                                } else if (reply.ok() && !fresh) {
+                                    readRemote(jobId, workspace, after, wait, true, done);
+                                } else {
+                                    readStored(record, after, done);
+                                }
+                            });
+    });
+}
+
+void JobService::readStored(const JobRecord &record, std::uint64_t after, PageCallback done)
+{
+    const auto copy = copies_.find(record.id);
+    const auto log = std::make_shared<ResultLog>(copy == copies_.end() ? ResultLog() : copy->second.log);
+    if (after < log->size()) {
+        done(ReadOutcome::Found, log->page(after, record.total, context_.settings.pageBytes));
+        return;
+    }
+    loadLog(record.id, log, [this, record, after, log, done = std::move(done)](bool loaded) {
+        if (!loaded) {
+            done(ReadOutcome::Unsure, {});
+            return;
+        }
+        copies_[record.id] = {*log, dropTime(record.submittedMs)};
+        done(ReadOutcome::Found, log->page(after, record.total, context_.settings.pageBytes));
+    });
+}
+
+void JobService::loadLog(const std::string &jobId, const std::shared_ptr<ResultLog> &log,
+                         std::function<void(bool)> done)
+{
+    const std::string last = log->nextSegment() == 0 ? std::string() : segmentName(log->nextSegment() - 1);
+    context_.store.list(resultKind(jobId), last, [this, jobId, log, done = std::move(done)](const StoreReply &reply) {
+        if (reply.outcome == StoreOutcome::NotFound) {
+            done(true);
+            return;
+        }
+        if (reply.outcome != StoreOutcome::Done) {
+            logReadFailure(jobId, "results", reply);
+            done(false);
+            return;
+        }
+        for (const objects::ObjectChange &change : reply.changes) {
+            const auto segment = parseSegment(log->nextSegment(), change.object.value);
+            if (change.object.name != segmentName(log->nextSegment()) || !segment || !log->append(*segment)) {
+                telemetry::log(Level::Error, "job", "segment_unreadable",
+                               {{"job", jobId}, {"segment", change.object.name}});
+                done(false);
+                return;
+            }
+        }
+        if (reply.more && !reply.changes.empty()) {
+            loadLog(jobId, log, done);
+        } else {
+            done(true);
+        }
+    });
+}
+
+// Bodies of items
+
+void JobService::body(const std::string &jobId, const std::string &workspace, const std::string &itemId,
+                      BodyCallback done)
+{
+    if (const auto owned = owned_.find(jobId); owned != owned_.end()) {
+        const auto index = owned->second->runner->tracker().find(itemId);
+        const bool found = owned->second->record.workspace == workspace && index.has_value();
+        done(found ? ReadOutcome::Found : ReadOutcome::NotFound,
+             found ? owned->second->runner->tracker().items()[*index].spec.body : std::string());
+        return;
+    }
+    withRecord(jobId, false, [=, this, done = std::move(done)](ReadOutcome outcome, const Known *known) {
+        if (known == nullptr || known->record.workspace != workspace) {
+            done(known == nullptr ? outcome : ReadOutcome::NotFound, {});
+            return;
+        }
+        const JobRecord record = known->record;
+        if (!context_.peers.isAlive(record.owner, record.ownerIncarnation)) {
+            bodyFromStore(record, itemId, done);
+            return;
+        }
+        context_.peers.call(record.owner, BodyMethod, {{"job", jobId}, {"item", itemId}, {"workspace", workspace}},
+                            context_.settings.peerTimeout, [=, this](absl::StatusOr<Json> reply) {
+                                if (reply.ok() && reply->value("found", false)) {
+                                    done(ReadOutcome::Found, fieldOr<std::string>(*reply, "body", ""));
+                                } else {
+                                    bodyFromStore(record, itemId, done);
+                                }
+                            });
+    });
+}
+
+void JobService::bodyFromStore(const JobRecord &record, const std::string &itemId, BodyCallback done)
+{
+    loadParts(record, [itemId, done = std::move(done)](bool loaded, const JobSpec &spec) {
+        if (!loaded) {
+            done(ReadOutcome::Unsure, {});
+            return;
+        }
+        const auto found = std::find_if(spec.items.begin(), spec.items.end(),
+                                        [&itemId](const ItemSpec &item) { return item.id == itemId; });
+        done(found == spec.items.end() ? ReadOutcome::NotFound : ReadOutcome::Found,
+             found == spec.items.end() ? std::string() : found->body);
+    });
+}
+
+void JobService::loadParts(const JobRecord &record, std::function<void(bool, JobSpec)> done)
+{
+    const auto spec = std::make_shared<JobSpec>();
+    spec->id = record.id;
+    spec->workspace = record.workspace;
+    spec->host = record.host;
+    spec->path = record.path;
+    loadPart(record, 0, spec, std::move(done));
+}
+
+void JobService::loadPart(const JobRecord &record, std::uint64_t part, std::shared_ptr<JobSpec> spec,
+                          std::function<void(bool, JobSpec)> done)
+{
+    if (part == record.parts) {
+        const bool whole = spec->items.size() == record.total;
+        done(whole, std::move(*spec));
+        return;
+    }
+    context_.store.get(
+        PartKind, partName(record.id, part),
+        [this, record, part, spec, done = std::move(done)](const StoreReply &reply) {
+            if (reply.outcome != StoreOutcome::Done || reply.changes.empty()) {
+                logReadFailure(record.id, "items", reply);
+                done(false, {});
+                return;
+            }
+            const Json &value = reply.changes.front().object.value;
+            bool readable = value.is_object() && value.contains("head") && value.contains("items")
+                && readHead(value["head"], *spec);
+            for (const Json &entry : readable ? value["items"] : Json::array()) {
+                auto item = parseItemSpec(entry);
+                readable = readable && item.has_value();
+                if (item) {
+                    spec->items.push_back(std::move(*item));
+                }
+            }
+            if (!readable) {
+                telemetry::log(Level::Error, "job", "items_unreadable", {{"job", record.id}, {"part", part}});
+                done(false, {});
+                return;
+            }
+            loadPart(record, part + 1, spec, done);
+        });
+}
+
+} // namespace currantlug::jobs
--- a/src/jobs/jobrunner.cpp
+++ b/src/jobs/jobrunner.cpp
@@ -1,7 +1,6 @@
-// Sending items, collecting their events and storing results.
+// Sending items and collecting their events.
 #include "jobs/jobrunner.h"
 
-#include "core/hash.h"
 #include "telemetry/log.h"
 
 #include <absl/time/clock.h>
@@ -26,11 +25,6 @@
 
 } // namespace
 
-std::string resultKind(const std::string &jobId)
-{
-    return "results-" + jobId;
-}
-
 JobRunner::JobRunner(JobContext &context, JobSpec spec, std::int64_t submittedMs, ResultLog log, Hooks hooks)
     : context_(context)
     , spec_(std::move(spec))
@@ -47,11 +41,6 @@
     }
 }
 
-std::string JobRunner::segmentKind() const
-{
-    return resultKind(spec_.id);
-}
-
 const serving::Route *JobRunner::route() const
 {
     const serving::GatewayConfig *config = context_.config();
@@ -211,9 +200,8 @@
     if (replica == nullptr || item.text.empty() || gap > LongestMeasuredGap) {
         return;
     }
-    replica->eventGap = replica->eventGap == absl::ZeroDuration()
-        ? gap
-        : replica->eventGap * (1 - GapSmoothing) + gap * GapSmoothing;
+    replica->eventGap =
+        replica->eventGap == absl::ZeroDuration() ? gap : replica->eventGap * (1 - GapSmoothing) + gap * GapSmoothing;
     replica->lastEventAt = now;
 }
 
@@ -342,8 +330,8 @@
     }
     const Instant now = net::loopNow();
     const serving::Route *route = this->route();
-    const bool expired = route != nullptr
-        && now - acceptedAt_ + ageAtAccept_ > route->queueTtl + context_.settings.ttlMargin;
+    const bool expired =
+        route != nullptr && now - acceptedAt_ + ageAtAccept_ > route->queueTtl + context_.settings.ttlMargin;
     for (std::size_t index = 0; index < tracker_.items().size(); ++index) {
         Item &item = tracker_.items()[index];
         if (expired && (item.state == ItemState::Waiting || item.state == ItemState::Running)) {
@@ -411,149 +399,4 @@
     }
 }
 
-void JobRunner::flushIfDue()
-{
-    if (writing_ || stopped_ || ownerUnsure_) {
-        return;
-    }
-    const Instant now = net::loopNow();
-    bool due = fencePending_;
-    for (const Item &item : tracker_.items()) {
-        due = due
-            || (item.state == ItemState::Finished
-                && (now - item.finishedAt >= context_.settings.flushDelay || tracker_.groupDone(item.spec.group)));
-    }
-    if (!due) {
-        return;
-    }
-    if (now - lastFlush_ >= context_.settings.flushSpacing) {
-        flush();
-    }
-}
-
-void JobRunner::flush()
-{
-    lastFlush_ = net::loopNow();
-    Segment segment;
-    segment.number = log_.nextSegment();
-    segment.nonce = randomHex(8);
-    std::size_t bytes = 0;
-    for (const Item &item : tracker_.items()) {
-        if (item.state == ItemState::Finished && bytes < context_.settings.segmentBytes) {
-            ItemResult result;
-            result.id = item.spec.id;
-            result.state = item.text.empty() ? ResultState::Abandoned : ResultState::Completed;
-            result.text = item.text.joined();
-            result.versions = item.text.versions;
-            bytes += result.text.size();
-            segment.results.push_back(std::move(result));
-        }
-    }
-    writing_ = std::move(segment);
-    const std::weak_ptr<JobRunner> weak = weak_from_this();
-    context_.store.create(segmentKind(), segmentName(writing_->number), toJson(*writing_),
-                          [weak](objects::StoreReply reply) {
-                              if (const auto self = weak.lock()) {
-                                  self->onFlushed(std::move(reply));
-                              }
-                          });
-}
-
-void JobRunner::onFlushed(objects::StoreReply reply)
-{
-    const std::weak_ptr<JobRunner> weak = weak_from_this();
-    if (reply.outcome == objects::StoreOutcome::Done) {
-        const Segment segment = *std::exchange(writing_, std::nullopt);
-        fencePending_ = false;
-        adopt(segment);
-        return;
-    }
-    if (reply.outcome == objects::StoreOutcome::Conflict) {
-        context_.store.get(segmentKind(), segmentName(writing_->number), [weak](objects::StoreReply read) {
-            if (const auto self = weak.lock()) {
-                self->onForeignSegment(std::move(read));
-            }
-        });
-        return;
-    }
-    // The same bytes again: whichever of the two takes effect, the segment holds them.
-    net::runAfter(context_.loop, context_.settings.storeRetry, [weak] {
-        const auto self = weak.lock();
-        if (self == nullptr || !self->writing_) {
-            return;
-        }
-        self->context_.store.create(self->segmentKind(), segmentName(self->writing_->number),
-                                    toJson(*self->writing_), [weak](objects::StoreReply again) {
-                                        if (const auto held = weak.lock()) {
-                                            held->onFlushed(std::move(again));
-                                        }
-                                    });
-    });
-}
-
-void JobRunner::onForeignSegment(objects::StoreReply reply)
-{
-    if (reply.outcome != objects::StoreOutcome::Done || reply.changes.empty()) {
-        reply.outcome = objects::StoreOutcome::Unknown;
-        onFlushed(std::move(reply));
-        return;
-    }
-    const std::optional<Segment> segment
-        = parseSegment(writing_->number, reply.changes.front().object.value);
-    const bool ours = segment && segment->nonce == writing_->nonce;
-    writing_.reset();
-    if (!segment) {
-        telemetry::log(Level::Error, "job", "segment_unreadable",
-                       {{"job", spec_.id}, {"segment", log_.nextSegment()}});
-        stop("unreadable segment");
-        return;
-    }
-    if (!ours) {
-        telemetry::log(Level::Warning, "job", "segment_of_another_node",
-                       {{"job", spec_.id}, {"segment", segment->number}});
-        ownerUnsure_ = true;
-    } else {
-        fencePending_ = false;
-    }
-    adopt(*segment);
-    if (!ours) {
-        hooks_.overtaken();
-    }
-}
-
-void JobRunner::fence()
-{
-    fencePending_ = true;
-    flushIfDue();
-}
-
-void JobRunner::confirmOwner()
-{
-    ownerUnsure_ = false;
-    flushIfDue();
-}
-
-void JobRunner::adopt(const Segment &segment)
-{
-    log_.append(segment);
-    for (const ItemResult &result : segment.results) {
-        const auto index = tracker_.find(result.id);
-        if (!index) {
-            continue;
-        }
-        if (tracker_.items()[*index].state == ItemState::Running) {
-            requeue(*index, "listed by another node", absl::ZeroDuration());
-        }
-        tracker_.markListed(*index);
-    }
-    telemetry::log(Level::Info, "job", "results_stored",
-                   {{"job", spec_.id},
-                    {"segment", segment.number},
-                    {"results", segment.results.size()},
-                    {"listed", log_.size()},
-                    {"total", spec_.items.size()}});
-    hooks_.listed();
-    flushIfDue();
-}
-
 } // namespace currantlug::jobs
--- a/src/jobs/jobrunner.h
+++ b/src/jobs/jobrunner.h
@@ -56,8 +56,8 @@
     void finish(std::size_t index, ResultState state);
     void flushIfDue();
     void flush();
-    void onFlushed(objects::StoreReply reply);
-    void onForeignSegment(objects::StoreReply reply);
+    void onFlushed(const objects::StoreReply &reply);
+    void onForeignSegment(const objects::StoreReply &reply);
     void adopt(const Segment &segment);
     const serving::Route *route() const;
     std::string segmentKind() const;
--- a/src/jobs/jobservice.h
+++ b/src/jobs/jobservice.h
@@ -91,7 +91,7 @@
 
     void writePart(const std::shared_ptr<Submission> &submission, std::uint64_t part);
     void writeRecord(const std::shared_ptr<Submission> &submission);
-    void onRecord(const std::shared_ptr<Submission> &submission, objects::StoreReply reply);
+    void onRecord(const std::shared_ptr<Submission> &submission, const objects::StoreReply &reply);
     void recheckRecord(const std::shared_ptr<Submission> &submission);
     void finishSubmission(const std::shared_ptr<Submission> &submission, SubmitOutcome outcome);
     void own(const JobRecord &record, std::uint64_t revision, JobSpec spec, ResultLog log);
@@ -115,7 +115,7 @@
     void loadParts(const JobRecord &record, std::function<void(bool, JobSpec)> done);
     void loadPart(const JobRecord &record, std::uint64_t part, std::shared_ptr<JobSpec> spec,
                   std::function<void(bool, JobSpec)> done);
-    void loadLog(const std::string &jobId, std::shared_ptr<ResultLog> log, std::function<void(bool)> done);
+    void loadLog(const std::string &jobId, const std::shared_ptr<ResultLog> &log, std::function<void(bool)> done);
 
     void endStored(const std::shared_ptr<Ending> &ending, bool fresh);
     void markEnded(const std::string &jobId);
--- /dev/null
+++ b/src/jobs/jobservicenames.h
@@ -0,0 +1,33 @@
+// Names of the objects and calls of the job service.
+#ifndef CURRANTLUG_JOBS_JOBSERVICENAMES_H
+#define CURRANTLUG_JOBS_JOBSERVICENAMES_H
+
+#include <absl/strings/str_cat.h>
+#include <absl/time/time.h>
+
+#include <cstdint>
+#include <string>
+
+namespace currantlug::jobs::detail {
+
+inline constexpr const char *RecordKind = "jobs";
+inline constexpr const char *PartKind = "job-items";
+inline constexpr const char *ReadMethod = "job/read";
+inline constexpr const char *BodyMethod = "job/body";
+inline constexpr const char *EndMethod = "job/end";
+inline constexpr const char *EndedMethod = "job/ended";
+inline constexpr const char *TakenMethod = "job/taken";
+inline constexpr const char *TextsMethod = "job/texts";
+// An end is told to the other nodes until they answer, so often.
+inline constexpr int EndAnnouncements = 5;
+inline constexpr absl::Duration AnnouncePause = absl::Milliseconds(400);
+
+/// Name of an object that holds some of a job's items.
+inline std::string partName(const std::string &jobId, std::uint64_t part)
+{
+    return absl::StrCat(jobId, ".", part);
+}
+
+} // namespace currantlug::jobs::detail
+
+#endif
--- /dev/null
+++ b/src/jobs/jobstoring.cpp
@@ -0,0 +1,163 @@
+// Storing results of a job in segments, and meeting those of other nodes.
+#include "jobs/jobrunner.h"
+
+#include "core/hash.h"
+#include "telemetry/log.h"
+
+namespace currantlug::jobs {
+
+using telemetry::Level;
+
+std::string resultKind(const std::string &jobId)
+{
+    return "results-" + jobId;
+}
+
+std::string JobRunner::segmentKind() const
+{
+    return resultKind(spec_.id);
+}
+
+void JobRunner::flushIfDue()
+{
+    if (writing_ || stopped_ || ownerUnsure_) {
+        return;
+    }
+    const Instant now = net::loopNow();
+    bool due = fencePending_;
+    for (const Item &item : tracker_.items()) {
+        due = due
+            || (item.state == ItemState::Finished
+                && (now - item.finishedAt >= context_.settings.flushDelay || tracker_.groupDone(item.spec.group)));
+    }
+    if (!due) {
+        return;
+    }
+    if (now - lastFlush_ >= context_.settings.flushSpacing) {
+        flush();
+    }
+}
+
+void JobRunner::flush()
+{
+    lastFlush_ = net::loopNow();
+    Segment segment;
+    segment.number = log_.nextSegment();
+    segment.nonce = randomHex(8);
+    std::size_t bytes = 0;
+    for (const Item &item : tracker_.items()) {
+        if (item.state == ItemState::Finished && bytes < context_.settings.segmentBytes) {
+            ItemResult result;
+            result.id = item.spec.id;
+            result.state = item.text.empty() ? ResultState::Abandoned : ResultState::Completed;
+            result.text = item.text.joined();
+            result.versions = item.text.versions;
+            bytes += result.text.size();
+            segment.results.push_back(std::move(result));
+        }
+    }
+    writing_ = std::move(segment);
+    const std::weak_ptr<JobRunner> weak = weak_from_this();
+    context_.store.create(segmentKind(), segmentName(writing_->number), toJson(*writing_),
+                          [weak](const objects::StoreReply &reply) {
+                              if (const auto self = weak.lock()) {
+                                  self->onFlushed(reply);
+                              }
+                          });
+}
+
+void JobRunner::onFlushed(const objects::StoreReply &reply)
+{
+    const std::weak_ptr<JobRunner> weak = weak_from_this();
+    if (reply.outcome == objects::StoreOutcome::Done) {
+        const Segment segment = *std::exchange(writing_, std::nullopt);
+        fencePending_ = false;
+        adopt(segment);
+        return;
+    }
+    if (reply.outcome == objects::StoreOutcome::Conflict) {
+        context_.store.get(segmentKind(), segmentName(writing_->number), [weak](const objects::StoreReply &read) {
+            if (const auto self = weak.lock()) {
+                self->onForeignSegment(read);
+            }
+        });
+        return;
+    }
+    // The same bytes again: whichever of the two takes effect, the segment holds them.
+    net::runAfter(context_.loop, context_.settings.storeRetry, [weak] {
+        const auto self = weak.lock();
+        if (self == nullptr || !self->writing_) {
+            return;
+        }
+        self->context_.store.create(self->segmentKind(), segmentName(self->writing_->number), toJson(*self->writing_),
+                                    [weak](const objects::StoreReply &again) {
+                                        if (const auto held = weak.lock()) {
+                                            held->onFlushed(again);
+                                        }
+                                    });
+    });
+}
+
+void JobRunner::onForeignSegment(const objects::StoreReply &reply)
+{
+    if (reply.outcome != objects::StoreOutcome::Done || reply.changes.empty()) {
+        onFlushed({});
+        return;
+    }
+    const std::optional<Segment> segment = parseSegment(writing_->number, reply.changes.front().object.value);
+    const bool ours = segment && segment->nonce == writing_->nonce;
+    writing_.reset();
+    if (!segment) {
+        telemetry::log(Level::Error, "job", "segment_unreadable", {{"job", spec_.id}, {"segment", log_.nextSegment()}});
+        stop("unreadable segment");
+        return;
+    }
+    if (!ours) {
+        telemetry::log(Level::Warning, "job", "segment_of_another_node",
+                       {{"job", spec_.id}, {"segment", segment->number}});
+        ownerUnsure_ = true;
+    } else {
+        fencePending_ = false;
+    }
+    adopt(*segment);
+    if (!ours) {
+        hooks_.overtaken();
+    }
+}
+
+void JobRunner::fence()
+{
+    fencePending_ = true;
+    flushIfDue();
+}
+
+void JobRunner::confirmOwner()
+{
+    ownerUnsure_ = false;
+    flushIfDue();
+}
+
+void JobRunner::adopt(const Segment &segment)
+{
+    log_.append(segment);
+    for (const ItemResult &result : segment.results) {
+        const auto index = tracker_.find(result.id);
+        if (!index) {
+            continue;
+        }
+        if (tracker_.items()[*index].state == ItemState::Running) {
+            requeue(*index, "listed by another node", absl::ZeroDuration());
+        }
+        tracker_.markListed(*index);
+    }
+    telemetry::log(Level::Info, "job", "results_stored",
+                   {{"job", spec_.id},
+                    {"segment", segment.number},
+                    {"results", segment.results.size()},
+                    {"listed", log_.size()},
+                    {"total", spec_.items.size()}});
+    hooks_.listed();
+    flushIfDue();
+}
+
+} // namespace currantlug::jobs
--- a/src/lease/leasedecision.h
+++ b/src/lease/leasedecision.h
@@ -16,8 +16,8 @@
     absl::Duration renewEvery = absl::Seconds(3); ///< Two renewals may fail before the lease lapses.
     absl::Duration margin = absl::Seconds(1); ///< For monotonic clocks that run at different rates.
     absl::Duration sendBound = absl::Seconds(2); ///< From the holder's last allowed send to its last byte on the wire.
-    /// The holder's id names a machine that runs one process at a time: a record with the own id was written by a process
-    /// that has ended, and may be taken over at once.
+    /// The holder's id names a machine that runs one process at a time: a record with the own id was written by a
+    /// process that has ended, and may be taken over at once.
     bool idNamesMachine = false;
     absl::Duration tcpUserTimeout = absl::Seconds(2); ///< The kernel retransmits sent bytes for so long.
 };
--- a/src/net/clientconnection.cpp
+++ b/src/net/clientconnection.cpp
@@ -40,8 +40,7 @@
 {
 }
 
-void ClientConnection::start(CallId id, const HttpRequest &request, const ClientLimits &limits,
-                             ClientHandlers handlers)
+void ClientConnection::start(CallId id, const HttpRequest &request, const ClientLimits &limits, ClientHandlers handlers)
 {
     const Instant now = loopNow();
     id_ = id;
--- a/src/net/httpmessage.cpp
+++ b/src/net/httpmessage.cpp
@@ -27,8 +27,7 @@
     std::string out;
     for (std::size_t i = 0; i < text.size(); ++i) {
         unsigned value = 0;
-        if (text[i] == '%' && i + 2 < text.size()
-            && absl::SimpleHexAtoi(std::string(text.substr(i + 1, 2)), &value)) {
+        if (text[i] == '%' && i + 2 < text.size() && absl::SimpleHexAtoi(std::string(text.substr(i + 1, 2)), &value)) {
             out += static_cast<char>(value);
             i += 2;
         } else {
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -17,20 +17,14 @@
 
 namespace {
 
-constexpr const char *NodeKind = "nodes";
 constexpr absl::Duration FastPeriod = absl::Milliseconds(100);
 constexpr absl::Duration SlowPeriod = absl::Milliseconds(1000);
 // After its start a node looks for orphans while contact to the others comes up; an owner counts as gone only once it
 // was found restarted, refusing or silent.
-constexpr absl::Duration FirstScans[]
-    = {absl::Milliseconds(400), absl::Milliseconds(1000), absl::Milliseconds(2600), absl::Milliseconds(5000)};
+constexpr absl::Duration FirstScans[] = {absl::Milliseconds(400), absl::Milliseconds(1000), absl::Milliseconds(2600),
+                                         absl::Milliseconds(5000)};
 // An orphan may be found only after its owner counts as lost everywhere: look again.
 constexpr absl::Duration LaterScans[] = {absl::ZeroDuration(), absl::Milliseconds(1500), absl::Seconds(4)};
-// Registrations of nodes that nobody reaches for this long are removed.
-constexpr absl::Duration ForgetAfter = absl::Seconds(30);
-constexpr absl::Duration SnapshotTimeout = absl::Milliseconds(800);
-constexpr absl::Duration RelayTimeout = absl::Milliseconds(2500); // A store call's own limit and the way between.
-constexpr absl::Duration DirectPause = absl::Seconds(2); // Before the store is asked directly again after a failure.
 constexpr absl::Duration AnswerTtl = absl::Seconds(1);
 constexpr std::size_t EnoughAddresses = 2; // A client whose address fails needs another one.
 constexpr std::size_t MaxAddresses = 64;
@@ -44,45 +38,6 @@
     return settings;
 }
 
-Json toJson(const objects::StoredObject &object)
-{
-    return {{"name", object.name}, {"revision", object.revision}, {"value", object.value}};
-}
-
-objects::StoredObject parseObject(const Json &value)
-{
-    objects::StoredObject object;
-    object.name = fieldOr<std::string>(value, "name", "");
-    object.revision = fieldOr<std::uint64_t>(value, "revision", 0);
-    object.value = value.is_object() && value.contains("value") ? value["value"] : Json();
-    return object;
-}
-
-Json encodeReply(const StoreReply &reply)
-{
-    Json changes = Json::array();
-    for (const ObjectChange &change : reply.changes) {
-        changes.push_back(toJson(change.object));
-    }
-    return {{"outcome", nameOf(reply.outcome)}, {"as_of", reply.asOf}, {"more", reply.more}, {"changes", changes}};
-}
-
-std::optional<StoreReply> parseReply(const Json &value)
-{
-    const auto outcome = parseEnum<StoreOutcome>(fieldOr<std::string>(value, "outcome", ""));
-    if (!outcome) {
-        return std::nullopt;
-    }
-    StoreReply reply;
-    reply.outcome = *outcome;
-    reply.asOf = fieldOr<std::uint64_t>(value, "as_of", 0);
-    reply.more = fieldOr<bool>(value, "more", false);
-    for (const Json &change : value.contains("changes") ? value["changes"] : Json::array()) {
-        reply.changes.push_back({parseObject(change), false});
-    }
-    return reply;
-}
-
 serving::ReplicaTableSettings tableSettings(const NodeSettings &settings)
 {
     serving::ReplicaTableSettings table;
@@ -116,37 +71,37 @@
     , replicas_(tableSettings(settings_))
     , counts_(settings_.usageWindow)
     , mesh_(loop, client, {}, [this] { return info(); })
+    , relayedStore_(binding_.store, mesh_, [this] { return storeReached(); })
     , requests_(loop, replicas_, binding_.replicas, {},
                 [this](const std::string &workspace) { counts_.add(workspace, absl::Now()); })
     , configMirror_(loop, binding_.store, binding_.configKind, {},
                     [this](const ObjectChange &change) { onConfigObject(change); })
     , replicaMirror_(loop, binding_.store, binding_.replicaKind, replicaMirrorSettings(),
                      [this](const ObjectChange &change) { onReplicaObject(change); })
-    , nodeMirror_(loop, binding_.store, NodeKind, {}, [this](const ObjectChange &change) { onNodeObject(change); })
+    , nodeMirror_(loop, binding_.store, std::string(NodeKind), {},
+                  [this](const ObjectChange &change) { onNodeObject(change); })
     , startedAt_(net::loopNow())
 {
     const auto config = [this] { return config_ ? &*config_ : nullptr; };
     const jobs::PeerPort peers{
         [this](const std::string &node, const std::string &method, Json body, absl::Duration timeout,
-               jobs::PeerPort::Callback done) {
-            mesh_.call(node, method, std::move(body), timeout, std::move(done));
-        },
+               jobs::PeerPort::Callback done) { mesh_.call(node, method, std::move(body), timeout, std::move(done)); },
         [this] { return mesh_.live(); },
         [this](const std::string &node, const std::string &incarnation) { return mesh_.isAlive(node, incarnation); },
         [this](const std::string &node, const std::string &incarnation) { return mesh_.isGone(node, incarnation); },
         [this] { return mesh_.allInContact(); }};
     jobs::JobSettings jobSettings;
     jobSettings.keep = settings_.statusTime;
-    jobs_ = std::make_unique<jobs::JobService>(jobs::JobContext{
-        loop, replicas_, binding_.replicas, relayedStore(), peers, config,
-        [this]() -> const std::map<std::string, std::string> & {
-            return controller_->leading() ? controller_->modelByReplica() : remotePlan_;
-        },
-        settings_.name, incarnation_, jobSettings});
+    jobs_ = std::make_unique<jobs::JobService>(
+        jobs::JobContext{loop, replicas_, binding_.replicas, relayedStore_.port(), peers, config,
+                         [this]() -> const std::map<std::string, std::string> & {
+                             return controller_->leading() ? controller_->modelByReplica() : remotePlan_;
+                         },
+                         settings_.name, incarnation_, jobSettings});
     control::ControllerContext context{
         loop,
         replicas_,
-        relayedStore(),
+        relayedStore_.port(),
         peers,
         binding_.duties,
         binding_.controlKinds,
@@ -283,146 +238,6 @@
     return addresses;
 }
 
-// Configuration, replicas, nodes
-
-void Node::onConfigObject(const ObjectChange &change)
-{
-    if (!change.removed && change.object.name == binding_.configName) {
-        applyConfig(change.object, "store");
-    }
-}
-
-void Node::applyConfig(const objects::StoredObject &object, std::string_view source)
-{
-    if (config_ && object.revision <= config_->revision) {
-        return;
-    }
-    auto config = binding_.parseConfig(object);
-    if (!config) {
-        telemetry::log(Level::Error, "config", "unreadable", {{"revision", object.revision}, {"source", source}});
-        return;
-    }
-    config->revision = object.revision;
-    config_ = std::move(*config);
-    configObject_ = object;
-    telemetry::log(Level::Info, "config", "in_force",
-                   {{"version", config_->version},
-                    {"revision", config_->revision},
-                    {"source", source},
-                    {"routes", config_->routes.size()},
-                    {"workspaces", config_->workspaces.size()}});
-    if (configHandler_) {
-        configHandler_();
-    }
-    jobs_->pump();
-}
-
-void Node::onReplicaObject(const ObjectChange &change)
-{
-    const std::string &id = change.object.name;
-    const Instant now = net::loopNow();
-    // While the store was away, another node may have told newer news than the mirror now catches up with.
-    if (const auto held = replicaObjects_.find(id);
-        held != replicaObjects_.end() && held->second.revision > change.object.revision) {
-        return;
-    }
-    if (change.removed) {
-        const bool unsteady = replicaMirror_.failing() || now - replicaMirror_.recoveredAt() < absl::Seconds(3);
-        telemetry::log(Level::Info, "replica", "removed", {{"replica", id}, {"registry_unsteady", unsteady}});
-        replicaObjects_.erase(id);
-        replicas_.remove(id, unsteady, now);
-        return;
-    }
-    replicaObjects_[id] = change.object;
-    auto entry = binding_.parseReplica(change.object);
-    if (!entry) {
-        telemetry::log(Level::Warning, "replica", "entry_unreadable",
-                       {{"replica", id}, {"revision", change.object.revision}});
-        replicas_.remove(id, false, now);
-        return;
-    }
-    const serving::Replica *known = replicas_.find(id);
-    if (known == nullptr || known->entry.draining != entry->draining || known->entry.bornMs != entry->bornMs) {
-        telemetry::log(Level::Info, "replica", "entry",
-                       {{"replica", id},
-                        {"service", entry->service},
-                        {"address", entry->address},
-                        {"zone", entry->availabilityZone},
-                        {"draining", entry->draining},
-                        {"spot", entry->spot},
-                        {"revision", change.object.revision}});
-    }
-    replicas_.update(std::move(*entry));
-    jobs_->pump();
-}
-
-void Node::onNodeObject(const ObjectChange &change)
-{
-    if (change.removed) {
-        mesh_.removeNode(change.object.name);
-        if (change.object.name == settings_.name && !stopping_) {
-            registered_ = false;
-            registerNode();
-        }
-        return;
-    }
-    if (const auto info = parseNodeInfo(change.object.value)) {
-        mesh_.add(info->name, info->control);
-    } else {
-        telemetry::log(Level::Warning, "node", "registration_unreadable", {{"node", change.object.name}});
-    }
-}
-
-void Node::registerNode()
-{
-    if (registered_ || stopping_) {
-        return;
-    }
-    NodeInfo info = this->info();
-    // Only what stays the same as long as the node's address does: a restart then changes nothing in the store.
-    info.incarnation.clear();
-    info.ready = info.storeReached = info.leading = false;
-    info.configRevision = 0;
-    const auto again = [this] {
-        net::runAfter(loop_, absl::Seconds(1), [this] { registerNode(); });
-    };
-    const Json value = node::toJson(info);
-    binding_.store.create(NodeKind, settings_.name, value, [this, value, again](const StoreReply &reply) {
-        if (reply.outcome == StoreOutcome::Done) {
-            registered_ = true;
-        } else if (reply.outcome != StoreOutcome::Conflict) {
-            again();
-        } else {
-            binding_.store.replace(NodeKind, settings_.name, 0, value, [this, again](const StoreReply &replaced) {
-                registered_ = replaced.outcome == StoreOutcome::Done;
-                if (!registered_) {
-                    again();
-                }
-            });
-        }
-    });
-}
-
-void Node::forgetLostNodes()
-{
-    if (!controller_->leading()) {
-        lostNodes_.clear();
-        return;
-    }
-    std::map<std::string, Instant> lost;
-    const Instant now = net::loopNow();
-    for (const std::string &name : mesh_.outOfContact()) {
-        const auto found = lostNodes_.find(name);
-        lost[name] = found == lostNodes_.end() ? now : found->second;
-        if (now - lost[name] > ForgetAfter) {
-            telemetry::log(Level::Info, "node", "forgotten", {{"node", name}});
-            binding_.store.remove(NodeKind, name, [](const StoreReply &) {});
-            lost[name] = now;
-        }
-    }
-    lostNodes_ = std::move(lost);
-}
-
 // Requests
 
 std::optional<std::string> Node::authorizeJobCall(const serving::InboundRequest &request,
@@ -453,10 +268,9 @@
     }
     const serving::Route *route = config_->match(request.host, net::pathOf(request.target));
     if (route == nullptr || route->services.empty()) {
-        telemetry::log(Level::Warning, "request", "no_route",
-                       {telemetry::requestId(request.id),
-                        {"host", request.host},
-                        {"config_version", config_->version}});
+        telemetry::log(
+            Level::Warning, "request", "no_route",
+            {telemetry::requestId(request.id), {"host", request.host}, {"config_version", config_->version}});
         serving::refuse(sink, 404, "no route", absl::ZeroDuration());
         return;
     }
@@ -504,75 +318,6 @@
     });
 }
 
-// Store calls through other nodes
-
-void Node::relay(Json call, std::function<void(const objects::StoreCallback &)> direct, objects::StoreCallback done)
-{
-    const auto throughPeer = [this, call](const std::string &peer, StoreOutcome before, objects::StoreCallback then) {
-        mesh_.call(peer, "store/call", call, RelayTimeout,
-                   [before, then = std::move(then)](const absl::StatusOr<Json> &reply) {
-                       const auto decoded = reply.ok() ? parseReply(*reply) : std::nullopt;
-                       if (decoded) {
-                           then(*decoded);
-                           return;
-                       }
-                       const bool untouched = before == StoreOutcome::Refused && !reply.ok()
-                           && errorContext(reply.status()).outcome == Outcome::NotRun;
-                       StoreReply failed;
-                       failed.outcome = untouched ? StoreOutcome::Refused : StoreOutcome::Unknown;
-                       then(failed);
-                   });
-    };
-    const std::string peer = mesh_.peerWithStore();
-    if (!peer.empty() && (!storeReached() || net::loopNow() < directAgainAt_)) {
-        throughPeer(peer, StoreOutcome::Refused, std::move(done));
-        return;
-    }
-    direct([this, throughPeer, done = std::move(done)](const StoreReply &reply) {
-        const bool failed = reply.outcome == StoreOutcome::Refused || reply.outcome == StoreOutcome::Unknown;
-        const std::string other = failed ? mesh_.peerWithStore() : std::string();
-        if (other.empty()) {
-            done(reply);
-            return;
-        }
-        directAgainAt_ = net::loopNow() + DirectPause;
-        throughPeer(other, reply.outcome, done);
-    });
-}
-
-objects::ObjectPort Node::relayedStore()
-{
-    const objects::ObjectPort direct = binding_.store;
-    objects::ObjectPort port = direct;
-    port.get = [this, direct](const std::string &kind, const std::string &name, objects::StoreCallback done) {
-        relay({{"op", "get"}, {"kind", kind}, {"name", name}},
-              [direct, kind, name](const objects::StoreCallback &then) { direct.get(kind, name, then); },
-              std::move(done));
-    };
-    port.list = [this, direct](const std::string &kind, const std::string &after, objects::StoreCallback done) {
-        relay({{"op", "list"}, {"kind", kind}, {"name", after}},
-              [direct, kind, after](const objects::StoreCallback &then) { direct.list(kind, after, then); },
-              std::move(done));
-    };
-    port.create = [this, direct](const std::string &kind, const std::string &name, const Json &value,
-                                 objects::StoreCallback done) {
-        relay({{"op", "create"}, {"kind", kind}, {"name", name}, {"value", value}},
-              [direct, kind, name, value](const objects::StoreCallback &then) {
-                  direct.create(kind, name, value, then);
-              },
-              std::move(done));
-    };
-    port.replace = [this, direct](const std::string &kind, const std::string &name, std::uint64_t revision,
-                                  const Json &value, objects::StoreCallback done) {
-        relay({{"op", "replace"}, {"kind", kind}, {"name", name}, {"revision", revision}, {"value", value}},
-              [direct, kind, name, revision, value](const objects::StoreCallback &then) {
-                  direct.replace(kind, name, revision, value, then);
-              },
-              std::move(done));
-    };
-    return port;
-}
-
 // Other nodes
 
 bool Node::peerCall(const std::string &method, const Json &body, std::function<void(Json)> reply)
@@ -585,24 +330,8 @@
         reply(snapshot(fieldOr<std::uint64_t>(body, "config", 0)));
         return true;
     }
-    if (method == "store/call") {
-        const auto done = [reply = std::move(reply)](const StoreReply &result) { reply(encodeReply(result)); };
-        const std::string op = fieldOr<std::string>(body, "op", "");
-        const std::string kind = fieldOr<std::string>(body, "kind", "");
-        const std::string name = fieldOr<std::string>(body, "name", "");
-        const Json value = body.contains("value") ? body["value"] : Json();
-        if (op == "get") {
-            binding_.store.get(kind, name, done);
-        } else if (op == "list") {
-            binding_.store.list(kind, name, done);
-        } else if (op == "create") {
-            binding_.store.create(kind, name, value, done);
-        } else if (op == "replace") {
-            binding_.store.replace(kind, name, fieldOr<std::uint64_t>(body, "revision", 0), value, done);
-        } else {
-            return false;
-        }
-        return true;
+    if (method == RelayedStore::Method) {
+        return RelayedStore::serve(binding_.store, body, std::move(reply));
     }
     return jobs_->peerCall(method, body, std::move(reply));
 }
@@ -611,75 +340,18 @@
 {
     Json reply = Json::object();
     if (config_ && config_->revision > configRevision) {
-        reply["config"] = toJson(configObject_);
+        reply["config"] = encodeObject(configObject_);
     }
     if (replicaMirror_.synced() && !replicaMirror_.failing()) {
         Json replicas = Json::array();
         for (const auto &[id, object] : replicaObjects_) {
-            replicas.push_back(toJson(object));
+            replicas.push_back(encodeObject(object));
         }
         reply["replicas"] = std::move(replicas);
     }
     return reply;
 }
 
-void Node::catchUp()
-{
-    bool behind = false;
-    for (const NodeInfo &node : mesh_.contacts()) {
-        behind = behind || (config_ ? node.configRevision > config_->revision : node.configRevision > 0);
-    }
-    const bool blind = !storeReached() || replicaMirror_.failing() || !replicaMirror_.synced();
-    if (catchingUp_ || (!behind && !blind)) {
-        return;
-    }
-    std::string peer = mesh_.peerWithStore();
-    if (peer.empty() && !config_ && !mesh_.live().empty()) {
-        peer = mesh_.live().front();
-    }
-    if (peer.empty()) {
-        return;
-    }
-    catchingUp_ = true;
-    mesh_.call(peer, "node/snapshot", {{"config", config_ ? config_->revision : 0}}, SnapshotTimeout,
-               [this](const absl::StatusOr<Json> &reply) {
-                   catchingUp_ = false;
-                   if (reply.ok() && reply->is_object()) {
-                       onSnapshot(*reply);
-                   }
-               });
-}
-
-void Node::onSnapshot(const Json &reply)
-{
-    if (reply.contains("config")) {
-        applyConfig(parseObject(reply["config"]), "node");
-    }
-    const bool blind = replicaMirror_.failing() || !replicaMirror_.synced();
-    if (!reply.contains("replicas") || !blind) {
-        return;
-    }
-    std::map<std::string, objects::StoredObject> listed;
-    for (const Json &entry : reply["replicas"]) {
-        objects::StoredObject object = parseObject(entry);
-        const auto known = replicaObjects_.find(object.name);
-        listed[object.name] = object;
-        if (known == replicaObjects_.end() || known->second.revision < object.revision) {
-            onReplicaObject({std::move(object), false});
-        }
-    }
-    std::vector<std::string> gone;
-    for (const auto &[id, object] : replicaObjects_) {
-        if (!listed.contains(id)) {
-            gone.push_back(id);
-        }
-    }
-    for (const std::string &id : gone) {
-        replicaObjects_.erase(id);
-        replicas_.remove(id, true, net::loopNow());
-    }
-}
-
 // Periodic work
 
 void Node::fast()
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -6,6 +6,7 @@
 #include "jobs/jobservice.h"
 #include "node/nodesettings.h"
 #include "node/peermesh.h"
+#include "node/relayedstore.h"
 #include "objects/objectmirror.h"
 #include "serving/requestrunner.h"
 
@@ -60,15 +61,14 @@
     PeerMesh &mesh() { return mesh_; }
 
 private:
+    static constexpr const char *NodeKind = "nodes"; ///< Kind of the nodes' registrations.
+
     NodeInfo info() const;
     void onConfigObject(const objects::ObjectChange &change);
     void applyConfig(const objects::StoredObject &object, std::string_view source);
     void onReplicaObject(const objects::ObjectChange &change);
     void onNodeObject(const objects::ObjectChange &change);
     void registerNode();
-    /// The object store for jobs: calls go through another node while the store turns this one away.
-    objects::ObjectPort relayedStore();
-    void relay(Json call, std::function<void(const objects::StoreCallback &)> direct, objects::StoreCallback done);
     bool peerCall(const std::string &method, const Json &body, std::function<void(Json)> reply);
     void fast();
     void slow();
@@ -86,6 +86,7 @@
     serving::ReplicaTable replicas_;
     control::RequestCounts counts_;
     PeerMesh mesh_;
+    RelayedStore relayedStore_;
     serving::RequestRunner requests_;
     std::unique_ptr<jobs::JobService> jobs_;
     std::unique_ptr<control::Controller> controller_;
@@ -101,7 +102,6 @@
     bool registered_ = false;
     bool stopping_ = false;
     bool catchingUp_ = false;
-    Instant directAgainAt_; ///< Store calls go through another node until then.
     Instant startedAt_;
 };
 
--- a/src/node/peermesh.cpp
+++ b/src/node/peermesh.cpp
@@ -68,8 +68,7 @@
     return info;
 }
 
-PeerMesh::PeerMesh(net::Loop &loop, net::HttpClient &client, PeerMeshSettings settings,
-                   std::function<NodeInfo()> self)
+PeerMesh::PeerMesh(net::Loop &loop, net::HttpClient &client, PeerMeshSettings settings, std::function<NodeInfo()> self)
     : loop_(loop)
     , client_(client)
     , settings_(settings)
@@ -130,8 +129,8 @@
     for (const std::string &name : names) {
         ask(name);
     }
-    const bool alone = std::none_of(peers_.begin(), peers_.end(),
-                                    [this](const auto &entry) { return inContact(entry.second); });
+    const bool alone =
+        std::none_of(peers_.begin(), peers_.end(), [this](const auto &entry) { return inContact(entry.second); });
     if (alone) {
         for (const std::string &seed : seeds_) {
             askAddress(seed, "");
@@ -177,8 +176,7 @@
         const auto reply = response.ok() && response->status == 200 ? fromCbor(response->body) : std::nullopt;
         if (reply) {
             answered(name, *reply);
-        } else if (found != peers_.end() && !response.ok()
-                   && response.status().code() == absl::StatusCode::kUnavailable
+        } else if (found != peers_.end() && !response.ok() && response.status().code() == absl::StatusCode::kUnavailable
                    && errorContext(response.status()).step == Step::Connect) {
             // Refused: no process listens there.
             found->second.lastAnswer = Instant();
@@ -277,7 +275,7 @@
     respond(reply);
 }
 
-void PeerMesh::call(const std::string &node, const std::string &method, Json body, absl::Duration timeout,
+void PeerMesh::call(const std::string &node, const std::string &method, const Json &body, absl::Duration timeout,
                     jobs::PeerPort::Callback done)
 {
     const auto found = peers_.find(node);
--- a/src/node/peermesh.h
+++ b/src/node/peermesh.h
@@ -70,7 +70,7 @@
     /// Serves a call that arrived at the control address.
     void serve(const net::ServerCallPtr &call);
 
-    void call(const std::string &node, const std::string &method, Json body, absl::Duration timeout,
+    void call(const std::string &node, const std::string &method, const Json &body, absl::Duration timeout,
               jobs::PeerPort::Callback done);
     std::vector<std::string> live() const;
     /// Nodes in contact, those that stop included.
--- /dev/null
+++ b/src/node/relayedstore.cpp
@@ -0,0 +1,153 @@
+// Passing store calls to another node and serving those of others.
+#include "node/relayedstore.h"
+
+#include "core/error.h"
+
+namespace currantlug::node {
+
+using objects::StoreCallback;
+using objects::StoredObject;
+using objects::StoreOutcome;
+using objects::StoreReply;
+
+namespace {
+
+constexpr absl::Duration RelayTimeout = absl::Milliseconds(2500); // A store call's own limit and the way between.
+constexpr absl::Duration DirectPause = absl::Seconds(2); // Before the store is asked directly again after a failure.
+
+Json encodeReply(const StoreReply &reply)
+{
+    Json changes = Json::array();
+    for (const objects::ObjectChange &change : reply.changes) {
+        changes.push_back(encodeObject(change.object));
+    }
+    return {{"outcome", nameOf(reply.outcome)}, {"as_of", reply.asOf}, {"more", reply.more}, {"changes", changes}};
+}
+
+std::optional<StoreReply> decodeReply(const Json &value)
+{
+    const auto outcome = parseEnum<StoreOutcome>(fieldOr<std::string>(value, "outcome", ""));
+    if (!outcome) {
+        return std::nullopt;
+    }
+    StoreReply reply;
+    reply.outcome = *outcome;
+    reply.asOf = fieldOr<std::uint64_t>(value, "as_of", 0);
+    reply.more = fieldOr<bool>(value, "more", false);
+    for (const Json &change : value.contains("changes") ? value["changes"] : Json::array()) {
+        reply.changes.push_back({decodeObject(change), false});
+    }
+    return reply;
+}
+
+} // namespace
+
+Json encodeObject(const StoredObject &object)
+{
+    return {{"name", object.name}, {"revision", object.revision}, {"value", object.value}};
+}
+
+StoredObject decodeObject(const Json &value)
+{
+    StoredObject object;
+    object.name = fieldOr<std::string>(value, "name", "");
+    object.revision = fieldOr<std::uint64_t>(value, "revision", 0);
+    object.value = value.is_object() && value.contains("value") ? value["value"] : Json();
+    return object;
+}
+
+RelayedStore::RelayedStore(objects::ObjectPort direct, PeerMesh &mesh, std::function<bool()> storeReached)
+    : direct_(std::move(direct))
+    , mesh_(mesh)
+    , storeReached_(std::move(storeReached))
+{
+}
+
+void RelayedStore::throughPeer(const std::string &peer, const Json &call, StoreOutcome before, StoreCallback done)
+{
+    mesh_.call(peer, Method, call, RelayTimeout, [before, done = std::move(done)](const absl::StatusOr<Json> &reply) {
+        const auto decoded = reply.ok() ? decodeReply(*reply) : std::nullopt;
+        if (decoded) {
+            done(*decoded);
+            return;
+        }
+        const bool untouched =
+            before == StoreOutcome::Refused && !reply.ok() && errorContext(reply.status()).outcome == Outcome::NotRun;
+        StoreReply failed;
+        failed.outcome = untouched ? StoreOutcome::Refused : StoreOutcome::Unknown;
+        done(failed);
+    });
+}
+
+void RelayedStore::run(const Json &call, const DirectCall &direct, StoreCallback done)
+{
+    const std::string peer = mesh_.peerWithStore();
+    if (!peer.empty() && (!storeReached_() || net::loopNow() < directAgainAt_)) {
+        throughPeer(peer, call, StoreOutcome::Refused, std::move(done));
+        return;
+    }
+    direct([this, call, done = std::move(done)](const StoreReply &reply) {
+        const bool failed = reply.outcome == StoreOutcome::Refused || reply.outcome == StoreOutcome::Unknown;
+        const std::string other = failed ? mesh_.peerWithStore() : std::string();
+        if (other.empty()) {
+            done(reply);
+            return;
+        }
+        directAgainAt_ = net::loopNow() + DirectPause;
+        throughPeer(other, call, reply.outcome, done);
+    });
+}
+
+objects::ObjectPort RelayedStore::port()
+{
+    objects::ObjectPort port = direct_;
+    port.get = [this](const std::string &kind, const std::string &name, StoreCallback done) {
+        run(
+            {{"op", "get"}, {"kind", kind}, {"name", name}},
+            [this, kind, name](const StoreCallback &then) { direct_.get(kind, name, then); }, std::move(done));
+    };
+    port.list = [this](const std::string &kind, const std::string &after, StoreCallback done) {
+        run(
+            {{"op", "list"}, {"kind", kind}, {"name", after}},
+            [this, kind, after](const StoreCallback &then) { direct_.list(kind, after, then); }, std::move(done));
+    };
+    port.create = [this](const std::string &kind, const std::string &name, const Json &value, StoreCallback done) {
+        run(
+            {{"op", "create"}, {"kind", kind}, {"name", name}, {"value", value}},
+            [this, kind, name, value](const StoreCallback &then) { direct_.create(kind, name, value, then); },
+            std::move(done));
+    };
+    port.replace = [this](const std::string &kind, const std::string &name, std::uint64_t revision, const Json &value,
+                          StoreCallback done) {
+        run(
+            {{"op", "replace"}, {"kind", kind}, {"name", name}, {"revision", revision}, {"value", value}},
+            [this, kind, name, revision, value](const StoreCallback &then) {
+                direct_.replace(kind, name, revision, value, then);
+            },
+            std::move(done));
+    };
+    return port;
+}
+
+bool RelayedStore::serve(const objects::ObjectPort &direct, const Json &body, std::function<void(Json)> reply)
+{
+    const auto done = [reply = std::move(reply)](const StoreReply &result) { reply(encodeReply(result)); };
+    const std::string op = fieldOr<std::string>(body, "op", "");
+    const std::string kind = fieldOr<std::string>(body, "kind", "");
+    const std::string name = fieldOr<std::string>(body, "name", "");
+    const Json value = body.contains("value") ? body["value"] : Json();
+    if (op == "get") {
+        direct.get(kind, name, done);
+    } else if (op == "list") {
+        direct.list(kind, name, done);
+    } else if (op == "create") {
+        direct.create(kind, name, value, done);
+    } else if (op == "replace") {
+        direct.replace(kind, name, fieldOr<std::uint64_t>(body, "revision", 0), value, done);
+    } else {
+        return false;
+    }
+    return true;
+}
+
+} // namespace currantlug::node
--- a/src/objects/objectmirror.cpp
+++ b/src/objects/objectmirror.cpp
@@ -9,8 +9,7 @@
 
 using telemetry::Level;
 
-ObjectMirror::ObjectMirror(net::Loop &loop, ObjectPort port, std::string kind, MirrorSettings settings,
-                           Changed changed)
+ObjectMirror::ObjectMirror(net::Loop &loop, ObjectPort port, std::string kind, MirrorSettings settings, Changed changed)
     : loop_(loop)
     , port_(std::move(port))
     , kind_(std::move(kind))
@@ -36,14 +35,14 @@
         listed_.clear();
         listAsOf_ = 0;
     }
-    port_.list(kind_, std::move(after), [this, generation = generation_](StoreReply reply) {
+    port_.list(kind_, std::move(after), [this, generation = generation_](const StoreReply &reply) {
         if (generation == generation_) {
-            onList(std::move(reply));
+            onList(reply);
         }
     });
 }
 
-void ObjectMirror::onList(StoreReply reply)
+void ObjectMirror::onList(const StoreReply &reply)
 {
     if (reply.outcome != StoreOutcome::Done) {
         failed(reply, [this] { list(""); });
@@ -84,14 +83,14 @@
     if (!running_) {
         return;
     }
-    port_.watch(kind_, asOf_, settings_.wait, [this, generation = generation_](StoreReply reply) {
+    port_.watch(kind_, asOf_, settings_.wait, [this, generation = generation_](const StoreReply &reply) {
         if (generation == generation_) {
-            onWatch(std::move(reply));
+            onWatch(reply);
         }
     });
 }
 
-void ObjectMirror::onWatch(StoreReply reply)
+void ObjectMirror::onWatch(const StoreReply &reply)
 {
     if (reply.outcome == StoreOutcome::HistoryGone) {
         telemetry::log(Level::Info, "objects", "history_gone", {{"kind", kind_}, {"revision", asOf_}});
@@ -129,8 +128,8 @@
                         {"http_status", reply.httpStatus},
                         {"revision", asOf_}});
     }
-    const absl::Duration delay
-        = std::min(settings_.lastRetry, settings_.firstRetry * (1 << std::min(failures_ - 1, 8)));
+    const absl::Duration delay =
+        std::min(settings_.lastRetry, settings_.firstRetry * (1 << std::min(failures_ - 1, 8)));
     net::runAfter(loop_, delay, [this, generation = generation_, again = std::move(again)] {
         if (generation == generation_) {
             again();
--- a/src/objects/objectmirror.h
+++ b/src/objects/objectmirror.h
@@ -50,8 +50,8 @@
 private:
     void list(std::string after);
     void watch();
-    void onList(StoreReply reply);
-    void onWatch(StoreReply reply);
+    void onList(const StoreReply &reply);
+    void onWatch(const StoreReply &reply);
     void failed(const StoreReply &reply, std::function<void()> again);
     void answered();
     void apply(const ObjectChange &change);
--- a/src/serving/replicatable.cpp
+++ b/src/serving/replicatable.cpp
@@ -125,8 +125,12 @@
         }
         // The group's replica is preferred over an emptier one until it is half full.
         const bool elsewhere = id != need.preferred || replica.inFlight * 2 > replica.entry.slots;
-        const std::tuple<int, bool, bool, bool, int, int> rank{
-            speedClass(replica.eventGap, bestGap), !planned, replica.entry.spot, elsewhere, replica.inFlight, distance(replica)};
+        const std::tuple<int, bool, bool, bool, int, int> rank{speedClass(replica.eventGap, bestGap),
+                                                               !planned,
+                                                               replica.entry.spot,
+                                                               elsewhere,
+                                                               replica.inFlight,
+                                                               distance(replica)};
         if (best == nullptr || rank < bestRank) {
             best = &replica;
             bestRank = rank;
@@ -158,8 +162,8 @@
     if (replica.avoidUntil > now) {
         return; // Requests that fail together are one failure.
     }
-    const absl::Duration avoid
-        = std::min(settings_.lastAvoid, settings_.firstAvoid * (1 << std::min(replica.failures, 6)));
+    const absl::Duration avoid =
+        std::min(settings_.lastAvoid, settings_.firstAvoid * (1 << std::min(replica.failures, 6)));
     ++replica.failures;
     replica.avoidUntil = now + avoid;
 }
--- a/src/serving/replicatable.h
+++ b/src/serving/replicatable.h
@@ -25,9 +25,11 @@
     absl::Duration returnGrace = absl::Milliseconds(2200);
     absl::Duration firstAvoid = absl::Milliseconds(300); ///< After a failure; doubles with each in a row.
     absl::Duration lastAvoid = absl::Seconds(3);
-    absl::Duration gapMemory = absl::Seconds(3); ///< A measured speed is forgotten without news, so that it is tried again.
+    absl::Duration gapMemory =
+        absl::Seconds(3); ///< A measured speed is forgotten without news, so that it is tried again.
     absl::Duration fullAvoid = absl::Milliseconds(60); ///< After a refusal for want of room.
-    absl::Duration loadingAvoid = absl::Milliseconds(250); ///< After a refusal with room left: weights are being loaded.
+    absl::Duration loadingAvoid =
+        absl::Milliseconds(250); ///< After a refusal with room left: weights are being loaded.
 };
 
 class ReplicaTable
--- a/src/serving/requestrunner.cpp
+++ b/src/serving/requestrunner.cpp
@@ -45,8 +45,8 @@
     }
 };
 
-RequestRunner::RequestRunner(net::Loop &loop, ReplicaTable &replicas, ReplicaPort port,
-                             RequestRunnerSettings settings, Began began)
+RequestRunner::RequestRunner(net::Loop &loop, ReplicaTable &replicas, ReplicaPort port, RequestRunnerSettings settings,
+                             Began began)
     : loop_(loop)
     , replicas_(replicas)
     , port_(std::move(port))
@@ -226,8 +226,8 @@
         end(run, "served", response->status);
         return;
     }
-    const bool othersOpen = std::any_of(run->attempts.begin(), run->attempts.end(),
-                                        [](const Attempt &attempt) { return attempt.open; });
+    const bool othersOpen =
+        std::any_of(run->attempts.begin(), run->attempts.end(), [](const Attempt &attempt) { return attempt.open; });
     if (isReplicaFailure(response->status) && run->repeatable && (othersOpen || mayTryAgain(*run))) {
         run->mayHaveRun = true;
         if (!othersOpen) {
@@ -246,8 +246,8 @@
         end(run, "replica_broke_off", 0);
         return;
     }
-    const bool othersOpen = std::any_of(run->attempts.begin(), run->attempts.end(),
-                                        [](const Attempt &attempt) { return attempt.open; });
+    const bool othersOpen =
+        std::any_of(run->attempts.begin(), run->attempts.end(), [](const Attempt &attempt) { return attempt.open; });
     const bool repeat = !run->mayHaveRun || run->repeatable;
     if (repeat && mayTryAgain(*run)) {
         launch(run);
--- a/src/telemetry/logbuffer.h
+++ b/src/telemetry/logbuffer.h
@@ -15,7 +15,7 @@
 {
 public:
     /// Sets the descriptor to non-blocking.
-    explicit LogBuffer(int descriptor, std::size_t maxBytes = 256 * 1024);
+    explicit LogBuffer(int descriptor, std::size_t maxBytes = 262'144);
 
     void add(std::string_view line);
     /// Writes as much as the descriptor takes at present.
--- a/tests/adapter/codectest.cpp
+++ b/tests/adapter/codectest.cpp
@@ -132,7 +132,8 @@
         {"body is not base64", R"({"items":[{"id":"i","path":"/p","body":"*"}]})"},
         {"body of another type", R"({"items":[{"id":"i","path":"/p","body":5}]})"},
         {"no path", R"({"items":[{"id":"i","body":""}]})"},
-        {"header with a line break", "{\"items\":[{\"id\":\"i\",\"path\":\"/p\",\"body\":\"\",\"headers\":{\"A\":\"x\\r\\nB: y\"}}]}"},
+        {"header with a line break",
+         "{\"items\":[{\"id\":\"i\",\"path\":\"/p\",\"body\":\"\",\"headers\":{\"A\":\"x\\r\\nB: y\"}}]}"},
     };
     for (const auto &[name, body] : bad) {
         CAPTURE(name);
@@ -159,10 +160,16 @@
     raw.method = "POST";
     raw.target = "/x/1?q=2";
     raw.body = "bytes";
-    for (const auto &[name, value] : {std::pair{"Host", "h.example"}, {"X-Attempt-Id", "abc"},
-                                      {"X-Deadline-Ms", "1200"}, {"authorization", "Bearer secret-key"},
-                                      {"X-Tenant", "forged"}, {"X-Expect-Instance", "forged"}, {"X-Other", "kept"},
-                                      {"Connection", "X-Hop, close"}, {"X-Hop", "dropped"}, {"Te", "trailers"}}) {
+    for (const auto &[name, value] : {std::pair{"Host", "h.example"},
+                                      {"X-Attempt-Id", "abc"},
+                                      {"X-Deadline-Ms", "1200"},
+                                      {"authorization", "Bearer secret-key"},
+                                      {"X-Tenant", "forged"},
+                                      {"X-Expect-Instance", "forged"},
+                                      {"X-Other", "kept"},
+                                      {"Connection", "X-Hop, close"},
+                                      {"X-Hop", "dropped"},
+                                      {"Te", "trailers"}}) {
         raw.headers.add(name, value);
     }
     const serving::InboundRequest inbound = decodeInbound(raw);
@@ -184,9 +191,9 @@
     CHECK(bytes.find("secret-key") == std::string::npos);
     CHECK(bytes.find("forged") == std::string::npos);
     CHECK(bytes.find("X-Hop") == std::string::npos);
-    for (const char *line : {"POST /x/1?q=2 HTTP/1.1\r\n", "X-Attempt-Id: abc\r\n", "X-Tenant: t1\r\n",
-                             "X-Expect-Instance: i-1\r\n", "X-Deadline-Ms: 800\r\n", "Last-Event-Id: 4\r\n",
-                             "X-Other: kept\r\n", "Content-Length: 5\r\n\r\nbytes"}) {
+    for (const char *line :
+         {"POST /x/1?q=2 HTTP/1.1\r\n", "X-Attempt-Id: abc\r\n", "X-Tenant: t1\r\n", "X-Expect-Instance: i-1\r\n",
+          "X-Deadline-Ms: 800\r\n", "Last-Event-Id: 4\r\n", "X-Other: kept\r\n", "Content-Length: 5\r\n\r\nbytes"}) {
         CAPTURE(line);
         CHECK(bytes.find(line) != std::string::npos);
     }
@@ -203,8 +210,9 @@
         }
         return decodeHead("mine", response);
     };
-    const auto good = head(200, {{"X-Attempt-Id", "mine"}, {"X-Server-Stamp", "s"}, {"X-Weight-Versions", "7"},
-                                 {"X-Server-Load", "3,1,8"}});
+    const auto good = head(
+        200,
+        {{"X-Attempt-Id", "mine"}, {"X-Server-Stamp", "s"}, {"X-Weight-Versions", "7"}, {"X-Server-Load", "3,1,8"}});
     CHECK_FALSE(good.forAnotherRequest);
     CHECK(good.weightVersion == 7);
     CHECK(good.load->waiting == 1);
@@ -249,8 +257,8 @@
 TEST_CASE("store answers say what was done")
 {
     using objects::StoreOutcome;
-    const std::string stored
-        = R"({"metadata":{"name":"n","revision":5,"created":1,"finalizers":[],"deleting":false},"spec":{"a":1},"status":null})";
+    const std::string stored =
+        R"({"metadata":{"name":"n","revision":5,"created":1,"finalizers":[],"deleting":false},"spec":{"a":1},"status":null})";
     const auto done = decodeStoreReply(200, stored);
     CHECK(done.outcome == StoreOutcome::Done);
     CHECK(done.changes.at(0).object.revision == 5);
@@ -272,8 +280,8 @@
 
 TEST_CASE("reports, versions and retirements are decoded")
 {
-    const auto report
-        = parseReport(R"({"stage":"mixed","models":[{"name":"m","version":3}],"busy":true,"seq":2,"running":1})");
+    const auto report =
+        parseReport(R"({"stage":"mixed","models":[{"name":"m","version":3}],"busy":true,"seq":2,"running":1})");
     REQUIRE(report);
     CHECK(report->busy);
     CHECK(report->ordersAccepted == 2);
--- a/tests/control/controllertest.cpp
+++ b/tests/control/controllertest.cpp
@@ -46,8 +46,8 @@
             };
             jobs::PeerPort peers{[this](const std::string &node, const std::string &, const Json &body, absl::Duration,
                                         const jobs::PeerPort::Callback &done) {
-                                     const Json reply = members[node].controller->usageOf(
-                                         body["window"].get<std::uint64_t>());
+                                     const Json reply =
+                                         members[node].controller->usageOf(body["window"].get<std::uint64_t>());
                                      net::runAfter(loop, absl::Milliseconds(1), [done, reply] { done(reply); });
                                  },
                                  [name] { return std::vector<std::string>{*name == 'a' ? "b" : "a"}; },
@@ -68,7 +68,8 @@
             member.controller = std::make_unique<Controller>(
                 ControllerContext{loop, *member.table, store.port(), peers, duties, kinds,
                                   []() -> const serving::GatewayConfig * { return nullptr; }, [] { return false; },
-                                  [] { return 0; }, [this, name] { return !turnedAway.contains(name); }, name, std::string(name) + "@machine", *member.counts, lease, settings});
+                                  [] { return 0; }, [this, name] { return !turnedAway.contains(name); }, name,
+                                  std::string(name) + "@machine", *member.counts, lease, settings});
         }
         poll();
     }
@@ -167,9 +168,8 @@
 {
     Pair pair;
     REQUIRE(runUntil(pair.loop, [&pair] { return !pair.leader().empty(); }));
-    pair.store.setFault([](const std::string &, const std::string &, const std::string &) {
-        return StoreOutcome::Refused;
-    });
+    pair.store.setFault(
+        [](const std::string &, const std::string &, const std::string &) { return StoreOutcome::Refused; });
     const Instant begun = net::loopNow();
     REQUIRE(runUntil(pair.loop, [&pair] { return pair.leader().empty(); }));
     CHECK(net::loopNow() - begun < absl::Milliseconds(700));
--- a/tests/fakes/fakereplicas.h
+++ b/tests/fakes/fakereplicas.h
@@ -46,8 +46,8 @@
             arrivals.push_back({replica.entry.id, request.id, request.resumeAfter});
             auto run = std::make_shared<Run>(Run{request, std::move(handlers), {}, 0});
             run->head.status = statusOfItem.contains(request.id) ? statusOfItem[request.id] : 200;
-            run->head.weightVersion
-                = versions.contains(replica.entry.id) ? versions[replica.entry.id] : std::uint64_t{1};
+            run->head.weightVersion =
+                versions.contains(replica.entry.id) ? versions[replica.entry.id] : std::uint64_t{1};
             run->next = request.resumeAfter.value_or(0) + 1;
             runs_[id] = run;
             ++running;
--- a/tests/fakes/memoryobjects.h
+++ b/tests/fakes/memoryobjects.h
@@ -1,5 +1,5 @@
-// An object store in memory behind the product's object port, with the faults of the platform's store: refusals, answers
-// lost after the effect, dropped history.
+// An object store in memory behind the product's object port, with the faults of the platform's store: refusals,
+// answers lost after the effect, dropped history.
 #ifndef CURRANTLUG_TESTS_FAKES_MEMORYOBJECTS_H
 #define CURRANTLUG_TESTS_FAKES_MEMORYOBJECTS_H
 
@@ -19,7 +19,8 @@
     using Port = objects::ObjectPort;
     using Reply = objects::StoreReply;
     using Outcome = objects::StoreOutcome;
-    /// Decides what happens to a call: Done lets it through, Refused does nothing, Unknown does it and loses the answer.
+    /// Decides what happens to a call: Done lets it through, Refused does nothing, Unknown does it and loses the
+    /// answer.
     using Fault = std::function<Outcome(const std::string &op, const std::string &kind, const std::string &name)>;
 
     explicit MemoryObjects(net::Loop &loop)
@@ -79,7 +80,9 @@
             });
         };
         port.watch = [this](const std::string &kind, std::uint64_t after, absl::Duration wait,
-                            objects::StoreCallback done) { watch(kind, after, net::loopNow() + wait, std::move(done)); };
+                            objects::StoreCallback done) {
+            watch(kind, after, net::loopNow() + wait, std::move(done));
+        };
         port.create = [this](const std::string &kind, const std::string &name, const Json &value,
                              objects::StoreCallback done) {
             run("create", kind, name, std::move(done), [this, kind, name, value] {
@@ -103,8 +106,8 @@
                 return reply(Outcome::Done, {{kinds_[kind][name], false}});
             });
         };
-        port.replaceStatus = [this](const std::string &kind, const std::string &name, std::uint64_t,
-                                    const Json &status, objects::StoreCallback done) {
+        port.replaceStatus = [this](const std::string &kind, const std::string &name, std::uint64_t, const Json &status,
+                                    objects::StoreCallback done) {
             run("status", kind, name, std::move(done), [this, kind, name, status] {
                 kinds_[kind][name].status = status;
                 return reply(Outcome::Done, {{kinds_[kind][name], false}});
--- a/tests/jobs/jobcluster.h
+++ b/tests/jobs/jobcluster.h
@@ -72,9 +72,10 @@
             },
             [this] { return cut.empty(); }};
         member.stopping = false;
-        member.service = std::make_unique<jobs::JobService>(jobs::JobContext{
-            loop, *member.table, replicas.port(), store.port(), peers, [this] { return &config; },
-            [this]() -> const std::map<std::string, std::string> & { return plan_; }, name, member.incarnation, settings});
+        member.service = std::make_unique<jobs::JobService>(
+            jobs::JobContext{loop, *member.table, replicas.port(), store.port(), peers, [this] { return &config; },
+                             [this]() -> const std::map<std::string, std::string> & { return plan_; }, name,
+                             member.incarnation, settings});
     }
 
     /// The process dies; what it was about to do is not done.
--- a/tests/jobs/jobservicetest.cpp
+++ b/tests/jobs/jobservicetest.cpp
@@ -168,7 +168,8 @@
     cluster.at("b").scanOrphans();
     REQUIRE(runUntil(cluster.loop, [&cluster] { return cluster.at("b").openJobs() == 1; }));
     REQUIRE(cluster.end("a", "job") == ReadOutcome::Found);
-    CHECK(runUntil(cluster.loop, [&cluster] { return cluster.replicas.running == 0; }, std::chrono::seconds(2)));
+    CHECK(runUntil(
+        cluster.loop, [&cluster] { return cluster.replicas.running == 0; }, std::chrono::seconds(2)));
     CHECK(cluster.at("b").openJobs() == 0);
 }
 
@@ -180,7 +181,8 @@
     REQUIRE(cluster.submit("a", JobCluster::spec("job", 8)) == SubmitOutcome::Accepted);
     cluster.cut.insert({"a", "b"});
     REQUIRE(cluster.end("b", "job") == ReadOutcome::Found);
-    CHECK(runUntil(cluster.loop, [&cluster] { return cluster.replicas.running == 0; }, std::chrono::seconds(3)));
+    CHECK(runUntil(
+        cluster.loop, [&cluster] { return cluster.replicas.running == 0; }, std::chrono::seconds(3)));
 }
 
 // Guards against lost text: a run that breaks off must go on from its last event, at whichever replica.
@@ -272,9 +274,8 @@
 {
     JobCluster cluster({"a", "b"});
     REQUIRE(cluster.submit("a", JobCluster::spec("job", 2)) == SubmitOutcome::Accepted);
-    cluster.store.setFault([](const std::string &, const std::string &, const std::string &) {
-        return StoreOutcome::Refused;
-    });
+    cluster.store.setFault(
+        [](const std::string &, const std::string &, const std::string &) { return StoreOutcome::Refused; });
     CHECK(cluster.read("b", "job").first == ReadOutcome::Unsure);
 }
 
@@ -286,8 +287,7 @@
     REQUIRE(cluster.submit("a", JobCluster::spec("job", 2)) == SubmitOutcome::Accepted);
     const auto body = [&cluster](const std::string &node) {
         std::optional<std::string> bytes;
-        cluster.at(node).body("job", "w", "job-1",
-                              [&bytes](ReadOutcome, const std::string &found) { bytes = found; });
+        cluster.at(node).body("job", "w", "job-1", [&bytes](ReadOutcome, const std::string &found) { bytes = found; });
         runUntil(cluster.loop, [&bytes] { return bytes.has_value(); });
         return bytes.value_or("");
     };
--- a/tests/net/httptest.cpp
+++ b/tests/net/httptest.cpp
@@ -91,9 +91,8 @@
 TEST_CASE("requests share a kept connection and bodies arrive whole")
 {
     Loop loop;
-    HttpServer server(loop, [](const ServerCallPtr &call) {
-        call->respond(200, {}, call->request().target + call->request().body);
-    });
+    HttpServer server(
+        loop, [](const ServerCallPtr &call) { call->respond(200, {}, call->request().target + call->request().body); });
     REQUIRE(server.listen(AnyPort).ok());
     HttpClient client(loop);
     const std::string body(200000, 'x');
--- a/tests/serving/replicatabletest.cpp
+++ b/tests/serving/replicatabletest.cpp
@@ -1,6 +1,6 @@
 // Choice among replicas, and the configuration's look-ups.
-#include "serving/gatewayconfig.h"
 #include "serving/replicatable.h"
+#include "serving/gatewayconfig.h"
 
 #include <catch2/catch.hpp>
 
