--- a/src/jobs/jobreading.cpp
+++ b/src/jobs/jobreading.cpp
@@ -243,7 +243,7 @@
     loadPart(record, 0, spec, std::move(done));
 }
 
-void JobService::loadPart(const JobRecord &record, std::uint64_t part, std::shared_ptr<JobSpec> spec,
+void JobService::loadPart(const JobRecord &record, std::uint64_t part, const std::shared_ptr<JobSpec> &spec,
                           std::function<void(bool, JobSpec)> done)
 {
     if (part == record.parts) {
--- a/src/jobs/jobservice.cpp
+++ b/src/jobs/jobservice.cpp
@@ -103,7 +103,7 @@
         return;
     }
     context_.store.create(PartKind, partName(submission->record.id, part), submission->parts[part],
-                          [this, submission, part](StoreReply reply) {
+                          [this, submission, part](const StoreReply &reply) {
                               // A repeated submission writes the same items, so an existing part is as good.
                               if (reply.outcome == StoreOutcome::Done || reply.outcome == StoreOutcome::Conflict) {
                                   writePart(submission, part + 1);
--- a/src/jobs/jobservice.h
+++ b/src/jobs/jobservice.h
@@ -113,7 +113,7 @@
     void serveWaiters(const std::string &jobId);
     void bodyFromStore(const JobRecord &record, const std::string &itemId, BodyCallback done);
     void loadParts(const JobRecord &record, std::function<void(bool, JobSpec)> done);
-    void loadPart(const JobRecord &record, std::uint64_t part, std::shared_ptr<JobSpec> spec,
+    void loadPart(const JobRecord &record, std::uint64_t part, const std::shared_ptr<JobSpec> &spec,
                   std::function<void(bool, JobSpec)> done);
     void loadLog(const std::string &jobId, const std::shared_ptr<ResultLog> &log, std::function<void(bool)> done);
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -84,8 +84,8 @@
 {
     const auto config = [this] { return config_ ? &*config_ : nullptr; };
     const jobs::PeerPort peers{
-        [this](const std::string &node, const std::string &method, Json body, absl::Duration timeout,
-               jobs::PeerPort::Callback done) { mesh_.call(node, method, std::move(body), timeout, std::move(done)); },
+        [this](const std::string &node, const std::string &method, const Json &body, absl::Duration timeout,
+               jobs::PeerPort::Callback done) { mesh_.call(node, method, body, timeout, std::move(done)); },
         [this] { return mesh_.live(); },
         [this](const std::string &node, const std::string &incarnation) { return mesh_.isAlive(node, incarnation); },
         [this](const std::string &node, const std::string &incarnation) { return mesh_.isGone(node, incarnation); },
