Announce ends without a function that holds itself

Cause: the leak check of test-jobs found a function object that kept itself alive where a loop ended early. Change: a member function repeats the call.

--- a/src/jobs/jobservice.h
+++ b/src/jobs/jobservice.h
@@ -122,6 +122,7 @@
     /// An end that was stored by a node out of contact is found in the store.
     void recheckOwned();
     void announceEnd(const std::string &jobId);
+    void tellEnded(const std::string &node, const std::string &jobId, int attempts);
     void onScan(objects::StoreReply reply);
     void takeOver(const JobRecord &record, std::uint64_t revision);
     void dropOld(Instant now);
--- a/src/jobs/jobtakeover.cpp
+++ b/src/jobs/jobtakeover.cpp
@@ -129,22 +129,21 @@
 {
     // All nodes are told: one that lost the job to a take-over may still run it.
     for (const std::string &node : context_.peers.live()) {
-        const auto attempt = std::make_shared<std::function<void(int)>>();
-        *attempt = [this, node, jobId, attempt](int left) {
-            context_.peers.call(node, EndedMethod, {{"job", jobId}}, context_.settings.peerTimeout,
-                                [this, attempt, left](const absl::StatusOr<Json> &reply) {
-                                    if (reply.ok() || left == 0) {
-                                        *attempt = nullptr;
-                                        return;
-                                    }
-                                    net::runAfter(context_.loop, AnnouncePause,
-                                                  [attempt, left] { (*attempt)(left - 1); });
-                                });
-        };
-        (*attempt)(EndAnnouncements);
+        tellEnded(node, jobId, EndAnnouncements);
     }
 }
 
+void JobService::tellEnded(const std::string &node, const std::string &jobId, int attempts)
+{
+    context_.peers.call(node, EndedMethod, {{"job", jobId}}, context_.settings.peerTimeout,
+                        [this, node, jobId, attempts](const absl::StatusOr<Json> &reply) {
+                            if (!reply.ok() && attempts > 1) {
+                                net::runAfter(context_.loop, AnnouncePause,
+                                              [this, node, jobId, attempts] { tellEnded(node, jobId, attempts - 1); });
+                            }
+                        });
+}
+
 // Other nodes
 
 bool JobService::peerCall(const std::string &method, const Json &body, std::function<void(Json)> reply)
