Pass a replica's answer on without copying its fields

Found in the read-through: the fields were copied one by one into a list of the same type, and a parameter was unused. No change of behaviour; tests of serving pass.

--- a/src/serving/requestrunner.cpp
+++ b/src/serving/requestrunner.cpp
@@ -169,11 +169,7 @@
     }
     if (run->kind == RouteKind::Stream && response.status / 100 == 2) {
         run->streaming = true;
-        net::Headers headers;
-        for (const net::Header &field : response.headers.fields()) {
-            headers.add(field.name, field.value);
-        }
-        run->sink.begin(response.status, headers);
+        run->sink.begin(response.status, response.headers);
     }
 }
 
@@ -235,7 +231,7 @@
         }
         return;
     }
-    deliver(run, head, *response);
+    deliver(run, *response);
 }
 
 void RequestRunner::attemptFailed(const RunPtr &run, bool notRun, bool full)
@@ -261,14 +257,9 @@
     end(run, full ? "full" : "failed", status);
 }
 
-void RequestRunner::deliver(const RunPtr &run, const ReplicaHead &head, const net::HttpResponse &response)
+void RequestRunner::deliver(const RunPtr &run, const net::HttpResponse &response)
 {
-    static_cast<void>(head);
-    net::Headers headers;
-    for (const net::Header &field : response.headers.fields()) {
-        headers.add(field.name, field.value);
-    }
-    run->sink.respond(response.status, headers, response.body);
+    run->sink.respond(response.status, response.headers, response.body);
     end(run, "served", response.status);
 }
 
--- a/src/serving/requestrunner.h
+++ b/src/serving/requestrunner.h
@@ -57,7 +57,7 @@
                 absl::StatusOr<net::HttpResponse> response);
     void scheduleHedge(const RunPtr &run);
     void attemptFailed(const RunPtr &run, bool notRun, bool full);
-    void deliver(const RunPtr &run, const ReplicaHead &head, const net::HttpResponse &response);
+    void deliver(const RunPtr &run, const net::HttpResponse &response);
     void timeUp(const RunPtr &run);
     void end(const RunPtr &run, std::string_view outcome, int status);
     void release(const RunPtr &run, std::size_t index);
