Restore the stated bounds in two tests; remove state that nothing sets

Found in the read-through. Both are back, from the stated targets: one second to settle, a quarter of the target latency for a refusal, the target latency for a hedged request. Replica's record of a load under way was never set, so the choice among replicas no longer looks at it. No change of behaviour. Checked: test-serving and test-jobs pass in the plain build.

--- a/src/serving/replica.h
+++ b/src/serving/replica.h
@@ -44,8 +44,6 @@
     Instant gone = Instant(absl::InfiniteDuration()); ///< Removed from the list at this time unless it returns.
     absl::Duration eventGap; ///< Smoothed time between two events of a stream; zero before the first.
     Instant lastEventAt; ///< When eventGap last took in a new event.
-    std::string orderedModel; ///< Weights are being loaded for it; empty otherwise.
-    Instant orderedUntil;
 };
 
 } // namespace currantlug::serving
--- a/src/serving/replicatable.cpp
+++ b/src/serving/replicatable.cpp
@@ -113,8 +113,7 @@
     Replica *best = nullptr;
     std::tuple<int, bool, bool, bool, int, int> bestRank;
     for (auto &[id, replica] : replicas_) {
-        const bool loading = replica.orderedModel == need.model && replica.orderedUntil > now;
-        if (!canRun(replica, need) || replica.gone <= now || replica.avoidUntil > now || loading
+        if (!canRun(replica, need) || replica.gone <= now || replica.avoidUntil > now
             || replica.inFlight >= replica.entry.slots || avoid.contains(id)) {
             continue;
         }
--- a/tests/jobs/jobservicetest.cpp
+++ b/tests/jobs/jobservicetest.cpp
@@ -137,7 +137,9 @@
     REQUIRE(runUntil(cluster.loop, [&cluster] { return cluster.at("b").openJobs() == 1; }));
     cluster.cut.clear();
     REQUIRE(cluster.waitForResults("b", "job", 4));
+    const Instant listed = net::loopNow();
     REQUIRE(cluster.waitForResults("a", "job", 4));
+    CHECK(net::loopNow() - listed < absl::Seconds(1));
     CHECK(cluster.at("a").openJobs() == 0);
 }
 
--- a/tests/serving/requestrunnertest.cpp
+++ b/tests/serving/requestrunnertest.cpp
@@ -34,7 +34,7 @@
         route.services = {{"desk", 1}};
         route.maxAttempts = 3;
         route.timeout = absl::Milliseconds(1500);
-        route.targetLatency = absl::Milliseconds(100);
+        route.targetLatency = absl::Milliseconds(800);
     }
 
     int ask()
@@ -126,7 +126,7 @@
     bench.behaviour["r0"] = Behaviour::Silent;
     const Instant begun = net::loopNow();
     CHECK(bench.ask() == 200);
-    CHECK(net::loopNow() - begun < bench.route.timeout);
+    CHECK(net::loopNow() - begun < bench.route.targetLatency);
     CHECK(bench.sent.size() == 2);
 }
 
@@ -205,5 +205,5 @@
     Bench bench(0);
     const Instant begun = net::loopNow();
     CHECK(bench.ask() == 503);
-    CHECK(net::loopNow() - begun < bench.route.timeout);
+    CHECK(net::loopNow() - begun < bench.route.targetLatency / 4);
 }
