Ask a store that fell silent briefly until it answers again

The store took the watch that followed the first failure and never answered it; it was given up after 22 s (log: store_regained kind=config gone_ms=22613 failures=2). For so long every node took the store for lost: jobs were refused, the old configuration stayed. Ruled out: dead connections (keep-alive had ended them after 3 s, the retry used a new one), the lost answers at 18 s. The test of the mirror fails without the change.

--- a/src/objects/objectmirror.cpp
+++ b/src/objects/objectmirror.cpp
@@ -83,11 +83,12 @@
     if (!running_) {
         return;
     }
-    port_.watch(kind_, asOf_, settings_.wait, [this, generation = generation_](const StoreReply &reply) {
-        if (generation == generation_) {
-            onWatch(reply);
-        }
-    });
+    port_.watch(kind_, asOf_, failing() ? settings_.probeWait : settings_.wait,
+                [this, generation = generation_](const StoreReply &reply) {
+                    if (generation == generation_) {
+                        onWatch(reply);
+                    }
+                });
 }
 
 void ObjectMirror::onWatch(const StoreReply &reply)
--- a/src/objects/objectmirror.h
+++ b/src/objects/objectmirror.h
@@ -15,6 +15,9 @@
 struct MirrorSettings
 {
     absl::Duration wait = absl::Seconds(20); ///< Of one watch; the store allows 30 s.
+    /// Of a watch after a failure. A store that is away may take a call and never answer it, so the first call after a
+    /// failure must end soon.
+    absl::Duration probeWait = absl::Milliseconds(100);
     /// Pause after a watch that brought news, so that changes in quick succession share a call.
     absl::Duration pause = absl::Milliseconds(100);
     absl::Duration firstRetry = absl::Milliseconds(200);
--- a/tests/fakes/memoryobjects.h
+++ b/tests/fakes/memoryobjects.h
@@ -29,6 +29,13 @@
     }
 
     void setFault(Fault fault) { fault_ = std::move(fault); }
+    /// A store that takes calls and doesn't answer. A watch that begins meanwhile is never answered; its caller gives
+    /// it up `graceOfWatch` after its wait.
+    void setSilent(bool silent, absl::Duration graceOfWatch)
+    {
+        silent_ = silent;
+        graceOfWatch_ = graceOfWatch;
+    }
     std::uint64_t revision() const { return revision_; }
     int calls(const std::string &op) const { return calls_.contains(op) ? calls_.at(op) : 0; }
     bool has(const std::string &kind, const std::string &name) const
@@ -150,6 +157,11 @@
     void watch(const std::string &kind, std::uint64_t after, Instant until, objects::StoreCallback done)
     {
         ++calls_["watch"];
+        if (silent_) {
+            net::runAfter(loop_, until + graceOfWatch_ - net::loopNow(),
+                          [this, done = std::move(done)] { done(reply(Outcome::Unknown)); });
+            return;
+        }
         poll(kind, after, until, std::move(done));
     }
 
@@ -178,6 +190,8 @@
 
     net::Loop &loop_;
     Fault fault_;
+    bool silent_ = false;
+    absl::Duration graceOfWatch_;
     std::uint64_t revision_ = 0;
     std::uint64_t compactedAt_ = 0;
     std::map<std::string, std::map<std::string, objects::StoredObject>> kinds_;
--- a/tests/objects/objectmirrortest.cpp
+++ b/tests/objects/objectmirrortest.cpp
@@ -64,6 +64,37 @@
     }));
 }
 
+// Guards against a mirror that stays blind after an outage: a watch that was sent to a silent store is given up only
+// after its whole wait, and the store was back long before that.
+TEST_CASE("a mirror finds out soon that a silent store is back")
+{
+    constexpr absl::Duration Grace = absl::Milliseconds(20);
+    net::Loop loop;
+    MemoryObjects store(loop);
+    objects::MirrorSettings settings = Mirror::settings();
+    settings.wait = absl::Seconds(10);
+    settings.probeWait = absl::Milliseconds(10);
+    std::map<std::string, Json> held;
+    objects::ObjectMirror mirror(loop, store.port(), "things", settings, [&held](const objects::ObjectChange &change) {
+        held[change.object.name] = change.object.value;
+    });
+    mirror.start();
+    REQUIRE(runUntil(loop, [&mirror] { return mirror.synced(); }));
+    store.setSilent(true, Grace);
+    store.setFault([](const std::string &, const std::string &, const std::string &) { return StoreOutcome::Unknown; });
+    REQUIRE(runUntil(loop, [&mirror] { return mirror.failing(); }));
+    const int watches = store.calls("watch");
+    REQUIRE(runUntil(loop, [&store, watches] { return store.calls("watch") > watches; }));
+    store.setSilent(false, Grace);
+    store.setFault({});
+    store.put("things", "a", 1);
+    const Instant back = net::loopNow();
+    REQUIRE(runUntil(loop, [&held] { return held.contains("a"); }));
+    CHECK(net::loopNow() - back < absl::Seconds(1));
+    CHECK_FALSE(mirror.failing());
+    mirror.stop();
+}
+
 // Property: after any series of changes and faults the mirror holds what the store holds.
 TEST_CASE("a mirror ends equal to the store")
 {
