Don't deny keys and routes while the configuration may be out of date

Callers don't retry after a 404 or 401. Change: a node that the store doesn't answer, and that knows no node which it does, answers 503 with Retry-After to what its configuration doesn't have. Outcomes of denials have a table of names. Tests: tests/node, the first of this folder; it fails without the change.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -184,6 +184,11 @@
     return configMirror_.synced() && !configMirror_.failing();
 }
 
+bool Node::configCurrent() const
+{
+    return storeReached() || !mesh_.peerWithStore().empty();
+}
+
 bool Node::ready() const
 {
     return !stopping_ && config_.has_value();
@@ -240,6 +245,23 @@
 
 // Requests
 
+void Node::deny(const serving::InboundRequest &request, const serving::AnswerSink &sink, Denial denial) const
+{
+    const bool current = configCurrent();
+    telemetry::log(Level::Warning, "request", nameOf(denial),
+                   {telemetry::requestId(request.id),
+                    {"host", request.host},
+                    {"config_version", config_->version},
+                    {"config_current", current}});
+    if (!current) {
+        serving::refuse(sink, 503, "the configuration may be out of date", RefusalRetryAfter);
+    } else if (denial == Denial::UnknownKey) {
+        serving::refuse(sink, 401, "unknown key", absl::ZeroDuration());
+    } else {
+        serving::refuse(sink, 404, "no route", absl::ZeroDuration());
+    }
+}
+
 std::optional<std::string> Node::authorizeJobCall(const serving::InboundRequest &request,
                                                   const serving::AnswerSink &sink) const
 {
@@ -252,9 +274,7 @@
     }
     const serving::Workspace *workspace = config_->workspaceOfKey(request.key);
     if (workspace == nullptr) {
-        telemetry::log(Level::Warning, "request", "key_refused",
-                       {telemetry::requestId(request.id), {"config_version", config_->version}});
-        serving::refuse(sink, 401, "unknown key", absl::ZeroDuration());
+        deny(request, sink, Denial::UnknownKey);
         return std::nullopt;
     }
     return workspace->name;
@@ -268,10 +288,7 @@
     }
     const serving::Route *route = config_->match(request.host, net::pathOf(request.target));
     if (route == nullptr || route->services.empty()) {
-        telemetry::log(
-            Level::Warning, "request", "no_route",
-            {telemetry::requestId(request.id), {"host", request.host}, {"config_version", config_->version}});
-        serving::refuse(sink, 404, "no route", absl::ZeroDuration());
+        deny(request, sink, Denial::NoRoute);
         return;
     }
     std::string workspace;
@@ -299,7 +316,7 @@
         serving::refuse(sink, 400, std::string(spec.status().message()), absl::ZeroDuration());
         return;
     }
-    if (!storeReached() && mesh_.peerWithStore().empty()) {
+    if (!configCurrent()) {
         serving::refuse(sink, 503, "the object store is away", RefusalRetryAfter);
         return;
     }
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -3,6 +3,7 @@
 #define CURRANTLUG_NODE_NODE_H
 
 #include "control/controller.h"
+#include "core/enumnames.h"
 #include "jobs/jobservice.h"
 #include "node/nodesettings.h"
 #include "node/peermesh.h"
@@ -18,6 +19,26 @@
 
 namespace currantlug::node {
 
+/// Why the configuration doesn't allow a request.
+enum class Denial {
+    UnknownKey,
+    NoRoute,
+};
+
+} // namespace currantlug::node
+
+template<>
+struct currantlug::EnumNames<currantlug::node::Denial>
+{
+    using Denial = currantlug::node::Denial;
+    static constexpr std::array<std::pair<Denial, std::string_view>, 2> Table{{
+        {Denial::UnknownKey, "key_refused"},
+        {Denial::NoRoute, "no_route"},
+    }};
+};
+
+namespace currantlug::node {
+
 /// What the platform folder gives a node: calls, and how to read the platform's objects.
 struct PlatformBinding
 {
@@ -64,6 +85,8 @@
     static constexpr const char *NodeKind = "nodes"; ///< Kind of the nodes' registrations.
 
     NodeInfo info() const;
+    /// Answers a request that the configuration doesn't allow; asks to come back where it may be out of date.
+    void deny(const serving::InboundRequest &request, const serving::AnswerSink &sink, Denial denial) const;
     void onConfigObject(const objects::ObjectChange &change);
     void applyConfig(const objects::StoredObject &object, std::string_view source);
     void onReplicaObject(const objects::ObjectChange &change);
@@ -73,6 +96,9 @@
     void fast();
     void slow();
     bool storeReached() const;
+    /// False while neither this node nor one that it knows hears of new configurations: what the configuration doesn't
+    /// have may exist by now.
+    bool configCurrent() const;
     /// Fetches configuration and replicas from a peer while the store can't be reached, or news seem to be held back.
     void catchUp();
     void onSnapshot(const Json &reply);
--- /dev/null
+++ b/tests/node/nodetest.cpp
@@ -0,0 +1,130 @@
+// What a node answers while its configuration may be out of date.
+#include "node/node.h"
+
+#include "fakes/memoryobjects.h"
+#include "fakes/runloop.h"
+
+#include <catch2/catch.hpp>
+
+using namespace currantlug;
+using namespace currantlug::tests;
+using objects::StoreOutcome;
+
+namespace {
+
+constexpr const char *ConfigKind = "settings";
+constexpr const char *ConfigName = "current";
+
+/// One route for the host "shop" and one key.
+std::optional<serving::GatewayConfig> oneRoute(const objects::StoredObject &object)
+{
+    serving::GatewayConfig config;
+    config.version = object.revision;
+    serving::Route route;
+    route.name = "orders";
+    route.host = "shop";
+    route.pathPrefix = "/orders/";
+    route.kind = serving::RouteKind::Safe;
+    route.services = {{"desk", 1}};
+    config.routes.push_back(route);
+    config.workspaces.push_back({"breeders", {}});
+    config.workspaceByKey["known-key"] = 0;
+    return config;
+}
+
+node::NodeSettings nodeSettings()
+{
+    node::NodeSettings settings;
+    settings.name = "node-1";
+    settings.availabilityZone = "ifrane";
+    settings.region = "atlas";
+    settings.regionOfZone = {{"ifrane", "atlas"}};
+    settings.controlAddress = "127.0.0.1:1";
+    return settings;
+}
+
+class LoneNode
+{
+public:
+    LoneNode()
+        : store(loop)
+        , client_(loop)
+        , node(loop, client_, nodeSettings(), binding())
+    {
+        store.put(ConfigKind, ConfigName, Json::object());
+        node.start();
+    }
+
+    /// Status of the answer to a request.
+    int ask(const std::string &path, const std::string &key)
+    {
+        serving::InboundRequest request;
+        request.id = "r1";
+        request.method = "GET";
+        request.host = "shop";
+        request.target = path;
+        request.key = key;
+        request.arrived = net::loopNow();
+        const auto status = std::make_shared<int>(0);
+        serving::AnswerSink sink;
+        sink.respond = [status](int code, const net::Headers &, std::string_view) { *status = code; };
+        sink.onClientGone = [](std::function<void()>) {};
+        node.handleRequest(std::move(request), sink);
+        return *status;
+    }
+
+    void loseStore()
+    {
+        store.setFault(
+            [](const std::string &, const std::string &, const std::string &) { return StoreOutcome::Refused; });
+    }
+
+private:
+    node::PlatformBinding binding()
+    {
+        node::PlatformBinding binding;
+        binding.store = store.port();
+        binding.configKind = ConfigKind;
+        binding.configName = ConfigName;
+        binding.parseConfig = oneRoute;
+        binding.replicaKind = "replicas";
+        binding.parseReplica = [](const objects::StoredObject &) { return std::optional<serving::ReplicaEntry>(); };
+        return binding;
+    }
+
+public:
+    net::Loop loop;
+    MemoryObjects store;
+
+private:
+    net::HttpClient client_;
+
+public:
+    node::Node node;
+};
+
+} // namespace
+
+// Guards against telling a caller for good that its route or key doesn't exist, when a newer configuration that nobody
+// could fetch may have added it.
+TEST_CASE("a node without contact to the store doesn't deny routes and keys")
+{
+    LoneNode lone;
+    REQUIRE(runUntil(lone.loop, [&lone] { return lone.ask("/other/", "known-key") == 404; }));
+    CHECK(lone.ask("/orders/1", "other-key") == 401);
+
+    lone.loseStore();
+    CHECK(runUntil(lone.loop, [&lone] { return lone.ask("/other/", "known-key") == 503; }));
+    CHECK(lone.ask("/orders/1", "other-key") == 503);
+
+    lone.store.setFault({});
+    CHECK(runUntil(lone.loop, [&lone] { return lone.ask("/other/", "known-key") == 404; }));
+    CHECK(lone.ask("/orders/1", "other-key") == 401);
+}
+
+// Guards against a denial before any configuration is known.
+TEST_CASE("a node without a configuration asks to come back")
+{
+    LoneNode lone;
+    CHECK(lone.ask("/orders/1", "known-key") == 503);
+}
