Keep the controller over a cut watch; report what stopped nodes counted

Change: it hands over after 0.5 s without an answer. The controller asked only nodes that don't stop, and a stopped process took its counts with it. Change: nodes that stop are asked too, and give their counts to another node right before they end. Counts of a killed process are still lost. Frozen figures that can't be read are no longer taken as zeros; a log line says so. Outcomes of orders and duties have tables of names. Both tests fail without the change.

--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -22,6 +22,28 @@
 // Windows kept in the frozen object; a controller reports at most a few behind the present one.
 constexpr std::size_t KeptFrozen = 12;
 
+/// Counts by window as they are stored and passed on; nothing if a part can't be read.
+std::optional<std::map<std::uint64_t, WindowCounts>> readWindows(const Json &value)
+{
+    std::map<std::uint64_t, WindowCounts> windows;
+    if (!value.is_object()) {
+        return std::nullopt;
+    }
+    for (const auto &[key, counts] : value.items()) {
+        std::uint64_t window = 0;
+        if (!absl::SimpleAtoi(key, &window) || !counts.is_object()) {
+            return std::nullopt;
+        }
+        for (const auto &[workspace, count] : counts.items()) {
+            if (!count.is_number_unsigned()) {
+                return std::nullopt;
+            }
+            windows[window][workspace] = count.get<std::uint64_t>();
+        }
+    }
+    return windows;
+}
+
 } // namespace
 
 Controller::Controller(ControllerContext context)
@@ -71,8 +93,14 @@
         noLeaderSince_ = now;
     }
     const bool storeAnswers = context_.storeAnswers();
-    if (lease_.holds() && !storeAnswers && !context_.peers.live().empty()) {
-        // A controller that the store turns away hears of nothing: another node takes over at once.
+    if (storeAnswers) {
+        noAnswerSince_ = Instant();
+    } else if (noAnswerSince_ == Instant()) {
+        noAnswerSince_ = now;
+    }
+    const bool turnedAway = !storeAnswers && now - noAnswerSince_ >= context_.settings.turnedAwayAfter;
+    if (lease_.holds() && turnedAway && !context_.peers.live().empty()) {
+        // A controller that the store turns away hears of nothing: another node takes over.
         release();
         return;
     }
@@ -171,7 +199,7 @@
                                 {"model", order.model},
                                 {"version", order.version},
                                 {"orders_seen", order.ordersSeen},
-                                {"reply", static_cast<int>(reply)}});
+                                {"reply", nameOf(reply)}});
                 weights_.replied(order, reply, net::loopNow());
             });
         }
@@ -265,7 +293,7 @@
                            {{"service", order.service},
                             {"zone", order.availabilityZone},
                             {"desired", order.desired},
-                            {"reply", static_cast<int>(reply)}});
+                            {"reply", nameOf(reply)}});
             scale_.replied(order, reply, net::loopNow());
         });
     }
@@ -282,6 +310,29 @@
     return {{"counts", std::move(counts)}};
 }
 
+Json Controller::usageToHandOver() const
+{
+    Json windows = Json::object();
+    for (const auto &[window, counts] : context_.counts.all()) {
+        windows[std::to_string(window)] = counts;
+    }
+    return windows;
+}
+
+bool Controller::takeUsage(const Json &handedOver)
+{
+    const auto windows = readWindows(handedOver);
+    if (!windows) {
+        return false;
+    }
+    for (const auto &[window, counts] : *windows) {
+        for (const auto &[workspace, count] : counts) {
+            context_.counts.add(workspace, window, count);
+        }
+    }
+    return true;
+}
+
 void Controller::loadFrozen()
 {
     if (std::exchange(frozenLoading_, true)) {
@@ -295,16 +346,14 @@
             frozenLoaded_ = true;
         } else if (reply.outcome == StoreOutcome::Done && !reply.changes.empty()) {
             const objects::StoredObject &object = reply.changes.front().object;
-            frozenRevision_ = object.revision;
-            frozen_.clear();
-            for (const auto &[key, counts] : object.value.items()) {
-                std::uint64_t window = 0;
-                if (absl::SimpleAtoi(key, &window) && counts.is_object()) {
-                    for (const auto &[workspace, count] : counts.items()) {
-                        frozen_[window][workspace] = count.is_number_unsigned() ? count.get<std::uint64_t>() : 0;
-                    }
-                }
+            auto windows = readWindows(object.value);
+            if (!windows) {
+                // Reporting goes on only by the figures that were fixed.
+                telemetry::log(Level::Error, "usage", "frozen_unreadable", {{"revision", object.revision}});
+                return;
             }
+            frozenRevision_ = object.revision;
+            frozen_ = std::move(*windows);
             frozenLoaded_ = true;
         }
     });
@@ -362,7 +411,7 @@
     WindowReport &report = reports_[window];
     report.counts = context_.counts.of(window);
     report.gatherUntil = net::loopNow() + context_.settings.usageGatherTimeout + absl::Milliseconds(100);
-    const std::vector<std::string> nodes = context_.peers.live();
+    const std::vector<std::string> nodes = context_.peers.reachable();
     report.waiting = static_cast<int>(nodes.size());
     report.gathered = nodes.empty();
     for (const std::string &node : nodes) {
@@ -433,7 +482,7 @@
     WindowReport &report = reports_[window];
     report.busy = true;
     context_.duties.reportUsage(window, report.counts, *holder, [this, window](DutyReply reply) {
-        telemetry::log(Level::Info, "usage", "reported", {{"window", window}, {"reply", static_cast<int>(reply)}});
+        telemetry::log(Level::Info, "usage", "reported", {{"window", window}, {"reply", nameOf(reply)}});
         const auto found = reports_.find(window);
         if (reply == DutyReply::Done) {
             reported_.insert(window);
--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -48,6 +48,8 @@
     /// A node that gave the lease up doesn't take it again sooner: within the platform's bound of three seconds two
     /// holders must not act in turn.
     absl::Duration returnAfter = absl::Milliseconds(4500);
+    /// A controller that the store hasn't answered for so long hands over. A watch that is merely cut is back in less.
+    absl::Duration turnedAwayAfter = absl::Milliseconds(500);
     absl::Duration candidateStep = absl::Milliseconds(700); ///< Nodes try for the lease one after the other.
 };
 
@@ -87,6 +89,10 @@
     void release();
     /// Counts of this node for the controller of another one.
     Json usageOf(std::uint64_t window) const;
+    /// Counts of this node, for another one to report once this process has ended.
+    Json usageToHandOver() const;
+    /// Takes the counts of a node that is about to end. False if they can't be read.
+    bool takeUsage(const Json &handedOver);
 
 private:
     struct WindowReport
@@ -125,6 +131,7 @@
     std::optional<std::uint64_t> token_; ///< While this node leads.
     Instant leadingSince_;
     Instant releasedAt_; ///< The origin before the first release.
+    Instant noAnswerSince_; ///< The origin while the store answers.
     Instant noLeaderSince_; ///< The origin while another node leads.
     Instant lastScale_;
     bool targetLoaded_ = false;
--- a/src/control/dutyport.h
+++ b/src/control/dutyport.h
@@ -2,6 +2,7 @@
 #ifndef CURRANTLUG_CONTROL_DUTYPORT_H
 #define CURRANTLUG_CONTROL_DUTYPORT_H
 
+#include "core/enumnames.h"
 #include "serving/replica.h"
 
 #include <cstdint>
@@ -63,6 +64,35 @@
     Unknown,
 };
 
+} // namespace currantlug::control
+
+template<>
+struct currantlug::EnumNames<currantlug::control::OrderReply>
+{
+    using OrderReply = currantlug::control::OrderReply;
+    static constexpr std::array<std::pair<OrderReply, std::string_view>, 5> Table{{
+        {OrderReply::Started, "started"},
+        {OrderReply::AlreadyDone, "already_done"},
+        {OrderReply::Busy, "busy"},
+        {OrderReply::Refused, "refused"},
+        {OrderReply::Unknown, "unknown"},
+    }};
+};
+
+template<>
+struct currantlug::EnumNames<currantlug::control::DutyReply>
+{
+    using DutyReply = currantlug::control::DutyReply;
+    static constexpr std::array<std::pair<DutyReply, std::string_view>, 4> Table{{
+        {DutyReply::Done, "done"},
+        {DutyReply::Unavailable, "unavailable"},
+        {DutyReply::Refused, "refused"},
+        {DutyReply::Unknown, "unknown"},
+    }};
+};
+
+namespace currantlug::control {
+
 struct DutyPort
 {
     std::function<void(const serving::Replica &, const WeightOrder &, const Holder &, std::function<void(OrderReply)>)>
--- a/src/control/requestcounts.h
+++ b/src/control/requestcounts.h
@@ -29,14 +29,16 @@
     {
         return absl::UnixEpoch() + window_ * static_cast<std::int64_t>(window + 1);
     }
-    void add(const std::string &workspace, absl::Time at)
+    void add(const std::string &workspace, absl::Time at) { add(workspace, windowAt(at), 1); }
+    void add(const std::string &workspace, std::uint64_t window, std::uint64_t requests)
     {
-        const std::uint64_t window = windowAt(at);
-        ++windows_[window][workspace];
+        windows_[window][workspace] += requests;
         while (windows_.size() > KeptWindows) {
             windows_.erase(windows_.begin());
         }
     }
+    /// All windows that are kept, by number.
+    const std::map<std::uint64_t, WindowCounts> &all() const { return windows_; }
     WindowCounts of(std::uint64_t window) const
     {
         const auto found = windows_.find(window);
--- a/src/jobs/jobcontext.h
+++ b/src/jobs/jobcontext.h
@@ -30,6 +30,8 @@
     std::function<bool(const std::string &node, const std::string &incarnation)> isGone;
     /// True if every known node is in contact.
     std::function<bool()> allInContact;
+    /// Nodes in contact, those that stop included, without this one.
+    std::function<std::vector<std::string>()> reachable;
 };
 
 struct JobSettings
--- a/src/node/peermesh.cpp
+++ b/src/node/peermesh.cpp
@@ -320,6 +320,15 @@
     return names;
 }
 
+std::vector<std::string> PeerMesh::reachable() const
+{
+    std::vector<std::string> names;
+    for (const NodeInfo &info : contacts()) {
+        names.push_back(info.name);
+    }
+    return names;
+}
+
 std::vector<NodeInfo> PeerMesh::contacts() const
 {
     std::vector<NodeInfo> infos;
--- a/src/node/peermesh.h
+++ b/src/node/peermesh.h
@@ -73,6 +73,8 @@
     void call(const std::string &node, const std::string &method, const Json &body, absl::Duration timeout,
               jobs::PeerPort::Callback done);
     std::vector<std::string> live() const;
+    /// Names of the nodes in contact, those that stop included.
+    std::vector<std::string> reachable() const;
     /// Nodes in contact, those that stop included.
     std::vector<NodeInfo> contacts() const;
     bool isAlive(const std::string &node, const std::string &incarnation) const;
--- a/tests/control/controllertest.cpp
+++ b/tests/control/controllertest.cpp
@@ -53,7 +53,8 @@
                                  [name] { return std::vector<std::string>{*name == 'a' ? "b" : "a"}; },
                                  {},
                                  {},
-                                 {}};
+                                 {},
+                                 [name] { return std::vector<std::string>{*name == 'a' ? "b" : "a"}; }};
             lease::LeaseSettings lease;
             lease.duration = absl::Milliseconds(1200);
             lease.renewEvery = absl::Milliseconds(300);
@@ -194,6 +195,41 @@
     CHECK(net::loopNow() - begun >= absl::Milliseconds(3600));
 }
 
+// Guards against a change of the controller, with its seconds without duties, each time a watch is cut.
+TEST_CASE("a controller whose store is away for a moment goes on")
+{
+    Pair pair;
+    REQUIRE(runUntil(pair.loop, [&pair] { return !pair.leader().empty(); }));
+    const std::string first = pair.leader();
+    pair.turnedAway = {"a", "b"};
+    runFor(pair.loop, std::chrono::milliseconds(200));
+    CHECK(pair.leader() == first);
+    pair.turnedAway.clear();
+    runFor(pair.loop, std::chrono::milliseconds(200));
+    CHECK(pair.leader() == first);
+}
+
+// Guards against usage that is never reported because the process that counted it was stopped.
+TEST_CASE("counts of a process that ends are reported by others")
+{
+    Pair pair;
+    REQUIRE(runUntil(pair.loop, [&pair] { return !pair.leader().empty(); }));
+    const std::string first = pair.leader();
+    const std::string second = first == "a" ? "b" : "a";
+    RequestCounts ended(absl::Milliseconds(400));
+    ended.add("w", absl::Now());
+    ended.add("w", absl::Now());
+    const std::uint64_t window = ended.windowAt(absl::Now());
+    const Json handedOver{{std::to_string(window), {{"w", std::uint64_t{2}}}}};
+    CHECK(pair.members[second].controller->takeUsage(handedOver));
+    REQUIRE(runUntil(pair.loop, [&pair] { return !pair.reports.empty(); }));
+    CHECK(pair.reports.front().window == window);
+    CHECK(pair.reports.front().counts == std::map<std::string, std::uint64_t>{{"w", 2}});
+    CHECK(pair.members[second].controller->usageToHandOver() == handedOver);
+    CHECK_FALSE(pair.members[second].controller->takeUsage({{"x", 1}}));
+    CHECK_FALSE(pair.members[second].controller->takeUsage({{std::to_string(window), {{"w", "two"}}}}));
+}
+
 // Guards against an operator who waits for ever for a disk machine to be emptied.
 TEST_CASE("a retirement is completed")
 {
