Repeat a release of the lease that a renewal overtook

Found beside it: a read that was under way at the release could take the lease again as the machine's own former one. Change: a release is repeated until it is done or somebody else holds the lease; a read acquires only while the node is a candidate.

--- a/src/control/leasedriver.cpp
+++ b/src/control/leasedriver.cpp
@@ -15,6 +15,9 @@
 constexpr const char *LeaseName = "controller";
 // Each read is paid for; a lease lapses after a few of these.
 constexpr absl::Duration ReadPeriod = absl::Milliseconds(800);
+// A release that isn't confirmed is repeated until the lease would have lapsed anyway.
+constexpr absl::Duration ReleaseRetry = absl::Milliseconds(100);
+constexpr int ReleaseAttempts = 12;
 
 } // namespace
 
@@ -34,6 +37,7 @@
 void LeaseDriver::poll(bool candidate)
 {
     logChange();
+    candidate_ = candidate;
     if (calling_) {
         return;
     }
@@ -55,7 +59,7 @@
         observe(reply);
         seen_ = seen_ || reply.outcome == StoreOutcome::Done || reply.outcome == StoreOutcome::NotFound;
         const bool answered = reply.outcome == StoreOutcome::Done || reply.outcome == StoreOutcome::NotFound;
-        if (answered && !decision_.holds() && decision_.mayAcquire(net::loopNow())) {
+        if (answered && candidate_ && !decision_.holds() && decision_.mayAcquire(net::loopNow())) {
             write();
         }
         logChange();
@@ -83,6 +87,7 @@
 void LeaseDriver::write()
 {
     const lease::LeaseWrite write = decision_.beginWrite(randomHex(8), net::loopNow());
+    lastNonce_ = write.record.nonce;
     const auto done = [this, nonce = write.record.nonce](const StoreReply &reply) {
         calling_ = false;
         if (reply.outcome == StoreOutcome::Done && !reply.changes.empty()) {
@@ -106,11 +111,46 @@
     if (!decision_.holds()) {
         return;
     }
-    const lease::LeaseWrite write = decision_.beginRelease(randomHex(8));
-    store_.replace(LeaseKind, LeaseName, write.expectedVersion, toJson(write.record), [](const StoreReply &) {});
+    candidate_ = false;
+    sendRelease(decision_.beginRelease(randomHex(8)), ReleaseAttempts);
     logChange();
 }
 
+void LeaseDriver::sendRelease(const lease::LeaseWrite &release, int attempts)
+{
+    store_.replace(LeaseKind, LeaseName, release.expectedVersion, toJson(release.record),
+                   [this, release, attempts](const StoreReply &reply) {
+                       telemetry::log(telemetry::Level::Info, "lease", "released",
+                                      {{"node", node_},
+                                       {"term", release.record.term},
+                                       {"outcome", nameOf(reply.outcome)},
+                                       {"attempts_left", attempts}});
+                       if (reply.outcome != StoreOutcome::Done && attempts > 0) {
+                           net::runAfter(loop_, ReleaseRetry,
+                                         [this, release, attempts] { checkRelease(release, attempts - 1); });
+                       }
+                   });
+}
+
+void LeaseDriver::checkRelease(lease::LeaseWrite release, int attempts)
+{
+    store_.get(LeaseKind, LeaseName, [this, release = std::move(release), attempts](const StoreReply &reply) mutable {
+        if (reply.outcome != StoreOutcome::Done || reply.changes.empty()) {
+            if (reply.outcome != StoreOutcome::NotFound && attempts > 0) {
+                net::runAfter(loop_, ReleaseRetry, [this, release, attempts] { checkRelease(release, attempts - 1); });
+            }
+            return;
+        }
+        const objects::StoredObject &object = reply.changes.front().object;
+        const auto record = lease::parseLeaseRecord(object.value.dump());
+        // A renewal that was under way took effect after all. Any other record is a successor's, or the release itself.
+        if (record.ok() && record->nonce == lastNonce_ && !decision_.holds()) {
+            release.expectedVersion = object.revision;
+            sendRelease(release, attempts);
+        }
+    });
+}
+
 void LeaseDriver::logChange()
 {
     const bool held = decision_.mayAct(net::loopNow());
--- a/src/control/leasedriver.h
+++ b/src/control/leasedriver.h
@@ -31,6 +31,9 @@
 private:
     void read();
     void write();
+    void sendRelease(const lease::LeaseWrite &release, int attempts);
+    /// After a release that wasn't confirmed: looks whether the lease is still this process's, and releases it again.
+    void checkRelease(lease::LeaseWrite release, int attempts);
     void observe(const objects::StoreReply &reply);
     void logChange();
 
@@ -39,7 +42,9 @@
     std::string node_;
     lease::LeaseDecision decision_;
     Instant lastRead_;
+    std::string lastNonce_; ///< Of the newest write that acquires or renews; it may take effect after a release.
     bool calling_ = false;
+    bool candidate_ = false; ///< As last polled. A read that began before a release must not acquire the lease again.
     bool seen_ = false;
     bool held_ = false; ///< As last logged.
 };
--- a/tests/control/controllertest.cpp
+++ b/tests/control/controllertest.cpp
@@ -195,6 +195,51 @@
     CHECK(net::loopNow() - begun >= absl::Milliseconds(3600));
 }
 
+// Guards against seconds without a controller: a renewal that is under way at the release takes effect before it, so
+// the release finds another revision than it expects.
+TEST_CASE("a lease is released although a renewal overtakes the release")
+{
+    Pair pair;
+    REQUIRE(runUntil(pair.loop, [&pair] { return !pair.leader().empty(); }));
+    const std::string first = pair.leader();
+    const std::string second = first == "a" ? "b" : "a";
+    bool renewing = false;
+    pair.store.setFault([&renewing](const std::string &op, const std::string &kind, const std::string &) {
+        renewing = renewing || (op == "replace" && kind == "leases");
+        return StoreOutcome::Done;
+    });
+    REQUIRE(runUntil(pair.loop, [&renewing] { return renewing; }));
+    const Instant released = net::loopNow();
+    pair.members[first].controller->release();
+    pair.frozen.insert(first);
+    REQUIRE(runUntil(pair.loop, [&pair, &second] { return pair.leader() == second; }));
+    // Without the release the successor waits for the lease's duration and margin from the renewal on.
+    CHECK(net::loopNow() - released < absl::Milliseconds(1200 + 150));
+}
+
+// Guards against a node that stops and takes the lease again, by a read that was under way when it gave the lease up.
+TEST_CASE("a node that gave the lease up doesn't take it by a read that was under way")
+{
+    Pair pair;
+    REQUIRE(runUntil(pair.loop, [&pair] { return !pair.leader().empty(); }));
+    const std::string first = pair.leader();
+    const std::string second = first == "a" ? "b" : "a";
+    bool reading = false;
+    pair.store.setFault([&reading](const std::string &op, const std::string &kind, const std::string &) {
+        // The renewal takes effect, and its lost answer makes the holder read.
+        const bool renewal = op == "replace" && kind == "leases" && !reading;
+        reading = reading || (op == "get" && kind == "leases");
+        return renewal ? StoreOutcome::Unknown : StoreOutcome::Done;
+    });
+    pair.frozen.insert(second);
+    REQUIRE(runUntil(pair.loop, [&reading] { return reading; }));
+    pair.members[first].controller->release();
+    pair.frozen = {first};
+    const Instant released = net::loopNow();
+    REQUIRE(runUntil(pair.loop, [&pair, &second] { return pair.leader() == second; }));
+    CHECK(net::loopNow() - released < absl::Milliseconds(1200 + 150));
+}
+
 // Guards against a change of the controller, with its seconds without duties, each time a watch is cut.
 TEST_CASE("a controller whose store is away for a moment goes on")
 {
