--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -2,6 +2,7 @@
 #include "cli/commands.h"
 
 #include "cli/adminclient.h"
+#include "cli/explaincommand.h"
 #include "cli/table.h"
 #include "core/error.h"
 #include "core/hash.h"
@@ -32,14 +33,16 @@
   burn                     service-level-burn report
   drain                    drain the daemon at the first admin address
   members remove NAME      remove a daemon from the member list (--force: without a majority)
+  explain ID [FILE...]     what logs (files, or standard input) say about a request, item, job or replica
   key digest               read a key from standard input and print its digest for a ticket
 
 Examples:
   currantlug --admin 10.0.0.1:7080,10.0.0.2:7080 ticket file samples/first-ticket.json
   currantlug ticket in-force --at 1700000000000 --json
   printf %s "$KEY" | currantlug key digest
+  cat *.log | currantlug explain 118a32af62bc145b
 
-Exit codes: 0 done, 1 refused, 2 wrong usage, 3 no daemon answered, 4 effect unknown or not yet confirmed,
+Exit codes: 0 done, 1 refused or nothing found, 2 wrong usage, 3 no daemon answered, 4 effect unknown or not yet confirmed,
 5 another ticket took the number.
 )";
 
@@ -257,6 +260,12 @@
     if (command == "drain") {
         return printReply(context, context.client.post("/admin/drain", Json::object()));
     }
+    if (command == "explain") {
+        if (context.words.size() < 2) {
+            return usageError("expected: explain ID [FILE...]");
+        }
+        return explain(context.words[1], {context.words.begin() + 2, context.words.end()}, context.json);
+    }
     if (command == "key" && context.words.size() == 2 && context.words[1] == "digest") {
         return printKeyDigest();
     }
