--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -84,8 +84,6 @@
     void poll();
     bool leading() const { return token_.has_value(); }
     const std::map<std::string, std::string> &modelByReplica() const { return weights_.modelByReplica(); }
-    /// True while weights are being loaded there by this node's order.
-    bool loading(const std::string &replica) const { return weights_.loading(replica); }
     void release();
     /// Counts of this node for the controller of another one.
     Json usageOf(std::uint64_t window) const;
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -41,19 +41,6 @@
     }
 }
 
-void HttpClient::forget(const std::string &peer)
-{
-    const auto found = idle_.find(peer);
-    if (found == idle_.end()) {
-        return;
-    }
-    const std::vector<ConnectionPtr> connections = std::move(found->second);
-    idle_.erase(found);
-    for (const ConnectionPtr &connection : connections) {
-        connection->drop();
-    }
-}
-
 HttpClient::ConnectionPtr HttpClient::takeIdle(const std::string &peer)
 {
     const auto found = idle_.find(peer);
--- a/src/net/httpclient.h
+++ b/src/net/httpclient.h
@@ -56,8 +56,6 @@
                 ClientHandlers handlers);
     /// Ends a call without a report and closes its connection. Does nothing for a call that has ended.
     void cancel(CallId id);
-    /// Closes the idle connections to a peer.
-    void forget(const std::string &peer);
 
     std::uint64_t connectionsOpened() const { return connectionsOpened_; }
 
--- a/src/node/peermesh.h
+++ b/src/node/peermesh.h
@@ -83,7 +83,6 @@
     /// True if every registered node is in contact.
     bool allInContact() const;
     std::vector<std::string> outOfContact() const;
-    std::size_t knownNodes() const { return peers_.size(); }
     /// A peer that reaches the store; empty if there is none.
     std::string peerWithStore() const;
 
--- a/src/serving/gatewayconfig.cpp
+++ b/src/serving/gatewayconfig.cpp
@@ -21,16 +21,6 @@
     return best;
 }
 
-const Route *GatewayConfig::routeByName(std::string_view name) const
-{
-    for (const Route &route : routes) {
-        if (route.name == name) {
-            return &route;
-        }
-    }
-    return nullptr;
-}
-
 const Workspace *GatewayConfig::workspaceOfKey(std::string_view key) const
 {
     const auto found = workspaceByKey.find(std::string(key));
--- a/src/serving/gatewayconfig.h
+++ b/src/serving/gatewayconfig.h
@@ -85,7 +85,6 @@
 
     /// The route with the longest prefix of the path among those of the host.
     const Route *match(std::string_view host, std::string_view path) const;
-    const Route *routeByName(std::string_view name) const;
     const Workspace *workspaceOfKey(std::string_view key) const;
     /// Picks a service by weight; the same `seed` always gets the same one.
     static const std::string &pickService(const Route &route, std::string_view seed);
--- a/src/serving/replicaport.h
+++ b/src/serving/replicaport.h
@@ -25,7 +25,6 @@
     std::string body;
     std::optional<absl::Duration> remaining; ///< Time that the client still waits.
     std::optional<std::uint64_t> resumeAfter; ///< Id of the last event that is held already.
-    std::optional<std::uint64_t> onlyVersion; ///< Replicas with other weights refuse.
 };
 
 /// The head of a replica's answer, decoded.
