Serve metrics on the platform; log each refusal with its reason

Labels are bounded: no ids, workspaces or keys. Refusals for want of a configuration or the store, silent so far, have a line. Tests: tests/node.

--- a/src/jobs/itemtracker.h
+++ b/src/jobs/itemtracker.h
@@ -26,6 +26,22 @@
     Listed,
 };
 
+} // namespace currantlug::jobs
+
+template<>
+struct currantlug::EnumNames<currantlug::jobs::ItemState>
+{
+    using ItemState = currantlug::jobs::ItemState;
+    static constexpr std::array<std::pair<ItemState, std::string_view>, 4> Table{{
+        {ItemState::Waiting, "waiting"},
+        {ItemState::Running, "running"},
+        {ItemState::Finished, "finished"},
+        {ItemState::Listed, "listed"},
+    }};
+};
+
+namespace currantlug::jobs {
+
 struct Item
 {
     ItemSpec spec;
--- a/src/jobs/jobservice.cpp
+++ b/src/jobs/jobservice.cpp
@@ -191,7 +191,7 @@
     submissions_.erase(submission->record.id);
     telemetry::log(outcome == SubmitOutcome::Accepted ? Level::Info : Level::Warning, "job", "submitted",
                    {{"job", submission->record.id},
-                    {"outcome", static_cast<int>(outcome)},
+                    {"outcome", nameOf(outcome)},
                     {"items", submission->record.total},
                     {"model", submission->spec.model},
                     {"step", submission->spec.step},
@@ -398,6 +398,20 @@
     }));
 }
 
+std::map<ItemState, std::size_t> JobService::itemCounts() const
+{
+    std::map<ItemState, std::size_t> counts;
+    for (const auto &[id, owned] : owned_) {
+        if (owned->runner->stopped() || owned->runner->complete()) {
+            continue;
+        }
+        for (const Item &item : owned->runner->tracker().items()) {
+            ++counts[item.state];
+        }
+    }
+    return counts;
+}
+
 void JobService::dropOld(Instant now)
 {
     absl::erase_if(known_, [now](const auto &entry) { return entry.second.dropAt <= now; });
--- a/src/jobs/jobservice.h
+++ b/src/jobs/jobservice.h
@@ -6,6 +6,7 @@
 #ifndef CURRANTLUG_JOBS_JOBSERVICE_H
 #define CURRANTLUG_JOBS_JOBSERVICE_H
 
+#include "core/enumnames.h"
 #include "jobs/jobcontext.h"
 #include "jobs/jobrunner.h"
 
@@ -13,6 +14,7 @@
 
 #include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -24,6 +26,21 @@
     Unknown, ///< It may have been accepted.
 };
 
+} // namespace currantlug::jobs
+
+template<>
+struct currantlug::EnumNames<currantlug::jobs::SubmitOutcome>
+{
+    using SubmitOutcome = currantlug::jobs::SubmitOutcome;
+    static constexpr std::array<std::pair<SubmitOutcome, std::string_view>, 3> Table{{
+        {SubmitOutcome::Accepted, "accepted"},
+        {SubmitOutcome::Refused, "refused"},
+        {SubmitOutcome::Unknown, "unknown"},
+    }};
+};
+
+namespace currantlug::jobs {
+
 enum class ReadOutcome {
     Found,
     NotFound, ///< The store says that there is no such job, or the key is another workspace's.
@@ -57,6 +74,8 @@
     /// Stops running items, so that other nodes take the jobs over.
     void release();
     std::size_t openJobs() const;
+    /// Items of the open jobs by state.
+    std::map<ItemState, std::size_t> itemCounts() const;
 
 private:
     struct Submission;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -2,6 +2,7 @@
 #include "node/node.h"
 
 #include "core/hash.h"
+#include "objects/meteredport.h"
 #include "telemetry/log.h"
 
 #include <absl/time/clock.h>
@@ -26,6 +27,8 @@
 // An orphan may be found only after its owner counts as lost everywhere: look again.
 constexpr absl::Duration LaterScans[] = {absl::ZeroDuration(), absl::Milliseconds(1500), absl::Seconds(4)};
 constexpr absl::Duration AnswerTtl = absl::Seconds(1);
+constexpr const char *HandOverMethod = "usage/handover";
+constexpr absl::Duration HandOverTimeout = absl::Milliseconds(300); // A round trip between regions takes 24 ms.
 constexpr std::size_t EnoughAddresses = 2; // A client whose address fails needs another one.
 constexpr std::size_t MaxAddresses = 64;
 constexpr absl::Duration RefusalRetryAfter = absl::Milliseconds(300); // About a connection set-up and a store call.
@@ -61,19 +64,29 @@
     return lease;
 }
 
+PlatformBinding metered(PlatformBinding binding, telemetry::MetricsRegistry &metrics)
+{
+    binding.store = objects::meteredPort(std::move(binding.store), metrics);
+    return binding;
+}
+
 } // namespace
 
 Node::Node(net::Loop &loop, net::HttpClient &client, NodeSettings settings, PlatformBinding binding)
     : loop_(loop)
+    , client_(client)
     , settings_(std::move(settings))
-    , binding_(std::move(binding))
+    , binding_(metered(std::move(binding), metrics_.registry()))
     , incarnation_(randomHex(6))
     , replicas_(tableSettings(settings_))
     , counts_(settings_.usageWindow)
     , mesh_(loop, client, {}, [this] { return info(); })
     , relayedStore_(binding_.store, mesh_, [this] { return storeReached(); })
     , requests_(loop, replicas_, binding_.replicas, {},
-                [this](const std::string &workspace) { counts_.add(workspace, absl::Now()); })
+                {[this](const std::string &workspace) { counts_.add(workspace, absl::Now()); },
+                 [this](serving::RouteKind kind, std::string_view outcome, int status, absl::Duration took) {
+                     metrics_.requestEnded(kind, outcome, status, took);
+                 }})
     , configMirror_(loop, binding_.store, binding_.configKind, {},
                     [this](const ObjectChange &change) { onConfigObject(change); })
     , replicaMirror_(loop, binding_.store, binding_.replicaKind, replicaMirrorSettings(),
@@ -89,7 +102,8 @@
         [this] { return mesh_.live(); },
         [this](const std::string &node, const std::string &incarnation) { return mesh_.isAlive(node, incarnation); },
         [this](const std::string &node, const std::string &incarnation) { return mesh_.isGone(node, incarnation); },
-        [this] { return mesh_.allInContact(); }};
+        [this] { return mesh_.allInContact(); },
+        [this] { return mesh_.reachable(); }};
     jobs::JobSettings jobSettings;
     jobSettings.keep = settings_.statusTime;
     jobs_ = std::make_unique<jobs::JobService>(
@@ -172,6 +186,22 @@
     controller_->release();
 }
 
+void Node::handOver(std::function<void()> done)
+{
+    const Json windows = controller_->usageToHandOver();
+    const std::vector<std::string> live = mesh_.live();
+    if (windows.empty() || live.empty()) {
+        done();
+        return;
+    }
+    mesh_.call(live.front(), HandOverMethod, windows, HandOverTimeout,
+               [node = live.front(), done = std::move(done)](const absl::StatusOr<Json> &reply) {
+                   telemetry::log(reply.ok() ? Level::Info : Level::Warning, "usage", "handed_over",
+                                  {{"node", node}, {"answered", reply.ok()}});
+                   done();
+               });
+}
+
 void Node::addSeeds(const std::vector<std::string> &seeds)
 {
     for (const std::string &seed : seeds) {
@@ -245,6 +275,13 @@
 
 // Requests
 
+void Node::refuseForNow(const serving::InboundRequest &request, const serving::AnswerSink &sink,
+                        std::string_view reason) const
+{
+    telemetry::log(Level::Warning, "request", "refused", {telemetry::requestId(request.id), {"reason", reason}});
+    serving::refuse(sink, 503, reason, RefusalRetryAfter);
+}
+
 void Node::deny(const serving::InboundRequest &request, const serving::AnswerSink &sink, Denial denial) const
 {
     const bool current = configCurrent();
@@ -254,7 +291,7 @@
                     {"config_version", config_->version},
                     {"config_current", current}});
     if (!current) {
-        serving::refuse(sink, 503, "the configuration may be out of date", RefusalRetryAfter);
+        refuseForNow(request, sink, "the configuration may be out of date");
     } else if (denial == Denial::UnknownKey) {
         serving::refuse(sink, 401, "unknown key", absl::ZeroDuration());
     } else {
@@ -266,7 +303,7 @@
                                                   const serving::AnswerSink &sink) const
 {
     if (!config_) {
-        serving::refuse(sink, 503, "no configuration yet", RefusalRetryAfter);
+        refuseForNow(request, sink, "no configuration yet");
         return std::nullopt;
     }
     if (config_->workspaces.empty()) {
@@ -283,7 +320,7 @@
 void Node::handleRequest(serving::InboundRequest request, serving::AnswerSink sink)
 {
     if (!config_) {
-        serving::refuse(sink, 503, "no configuration yet", RefusalRetryAfter);
+        refuseForNow(request, sink, "no configuration yet");
         return;
     }
     const serving::Route *route = config_->match(request.host, net::pathOf(request.target));
@@ -317,7 +354,7 @@
         return;
     }
     if (!configCurrent()) {
-        serving::refuse(sink, 503, "the object store is away", RefusalRetryAfter);
+        refuseForNow(request, sink, "the object store is away");
         return;
     }
     jobs_->submit(*std::move(spec), [sink = std::move(sink)](jobs::SubmitOutcome outcome) {
@@ -343,6 +380,13 @@
         reply(controller_->usageOf(fieldOr<std::uint64_t>(body, "window", 0)));
         return true;
     }
+    if (method == HandOverMethod) {
+        const bool taken = controller_->takeUsage(body);
+        telemetry::log(taken ? Level::Info : Level::Warning, "usage", taken ? "taken_over" : "unreadable",
+                       {{"windows", body.size()}});
+        reply({{"taken", taken}});
+        return true;
+    }
     if (method == "node/snapshot") {
         reply(snapshot(fieldOr<std::uint64_t>(body, "config", 0)));
         return true;
@@ -369,6 +413,23 @@
     return reply;
 }
 
+std::string Node::metrics()
+{
+    NodeStatus status;
+    status.ready = ready();
+    status.leading = controller_->leading();
+    status.storeReached = storeReached();
+    status.configVersion = config_ ? config_->version : 0;
+    status.nodesInContact = mesh_.contacts().size();
+    status.openJobs = jobs_->openJobs();
+    status.items = jobs_->itemCounts();
+    status.connectionsOpened = client_.connectionsOpened();
+    if (scrapeHandler_) {
+        scrapeHandler_(metrics_.registry());
+    }
+    return metrics_.exposition(status, replicas_, net::loopNow());
+}
+
 // Periodic work
 
 void Node::fast()
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -5,6 +5,7 @@
 #include "control/controller.h"
 #include "core/enumnames.h"
 #include "jobs/jobservice.h"
+#include "node/nodemetrics.h"
 #include "node/nodesettings.h"
 #include "node/peermesh.h"
 #include "node/relayedstore.h"
@@ -15,6 +16,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace currantlug::node {
@@ -64,6 +66,8 @@
     void start();
     /// Leaves the address answers, hands jobs over and lets requests finish.
     void stop();
+    /// Gives what only this process knows and others need to another node. Call right before the process ends.
+    void handOver(std::function<void()> done);
     void addSeeds(const std::vector<std::string> &seeds);
 
     bool ready() const;
@@ -78,6 +82,10 @@
     /// The workspace whose key came with a call on a job, or nothing after a refusal was sent.
     std::optional<std::string> authorizeJobCall(const serving::InboundRequest &request,
                                                 const serving::AnswerSink &sink) const;
+    /// Metrics as text.
+    std::string metrics();
+    /// Sets gauges of the process before each exposition.
+    void onScrape(std::function<void(telemetry::MetricsRegistry &)> handler) { scrapeHandler_ = std::move(handler); }
     jobs::JobService &jobs() { return *jobs_; }
     PeerMesh &mesh() { return mesh_; }
 
@@ -85,6 +93,9 @@
     static constexpr const char *NodeKind = "nodes"; ///< Kind of the nodes' registrations.
 
     NodeInfo info() const;
+    /// Asks to come back soon; the request hasn't run.
+    void refuseForNow(const serving::InboundRequest &request, const serving::AnswerSink &sink,
+                      std::string_view reason) const;
     /// Answers a request that the configuration doesn't allow; asks to come back where it may be out of date.
     void deny(const serving::InboundRequest &request, const serving::AnswerSink &sink, Denial denial) const;
     void onConfigObject(const objects::ObjectChange &change);
@@ -106,7 +117,9 @@
     void forgetLostNodes();
 
     net::Loop &loop_;
+    net::HttpClient &client_;
     NodeSettings settings_;
+    NodeMetrics metrics_; ///< The calls of the binding's store are counted here.
     PlatformBinding binding_;
     std::string incarnation_;
     serving::ReplicaTable replicas_;
@@ -125,6 +138,7 @@
     std::map<std::string, std::string> remotePlan_; ///< Model by replica, from the node that leads.
     std::map<std::string, Instant> lostNodes_; ///< Registered and out of contact since.
     std::function<void()> configHandler_;
+    std::function<void(telemetry::MetricsRegistry &)> scrapeHandler_;
     bool registered_ = false;
     bool stopping_ = false;
     bool catchingUp_ = false;
--- /dev/null
+++ b/src/node/nodemetrics.cpp
@@ -0,0 +1,110 @@
+// Recording and exposition.
+#include "node/nodemetrics.h"
+
+#include "telemetry/log.h"
+
+namespace currantlug::node {
+
+namespace {
+
+enum class ReplicaCondition {
+    Ready,
+    Draining,
+    Avoided, ///< Failed or full a short time ago.
+    Vanishing, ///< No longer registered, and kept for a moment since the registry was away.
+};
+
+constexpr std::pair<ReplicaCondition, std::string_view> ReplicaConditions[] = {
+    {ReplicaCondition::Ready, "ready"},
+    {ReplicaCondition::Draining, "draining"},
+    {ReplicaCondition::Avoided, "avoided"},
+    {ReplicaCondition::Vanishing, "vanishing"},
+};
+
+ReplicaCondition conditionOf(const serving::Replica &replica, Instant now)
+{
+    if (replica.gone != Instant(absl::InfiniteDuration())) {
+        return ReplicaCondition::Vanishing;
+    }
+    if (replica.entry.draining) {
+        return ReplicaCondition::Draining;
+    }
+    return replica.avoidUntil > now ? ReplicaCondition::Avoided : ReplicaCondition::Ready;
+}
+
+} // namespace
+
+NodeMetrics::NodeMetrics()
+{
+    telemetry::setEventObserver([this](std::string_view subsystem, std::string_view event) {
+        registry_
+            .counter("currantlug_events_total", "Decisions and changes of state, as named in the log.",
+                     {{"subsystem", std::string(subsystem)}, {"event", std::string(event)}})
+            .add();
+    });
+}
+
+NodeMetrics::~NodeMetrics()
+{
+    telemetry::setEventObserver({});
+}
+
+void NodeMetrics::requestEnded(serving::RouteKind kind, std::string_view outcome, int status, absl::Duration took)
+{
+    // The status in hundreds: replicas choose their own.
+    registry_
+        .counter("currantlug_requests_total", "Requests of clients that ended; batch jobs are not among them.",
+                 {{"kind", std::string(nameOf(kind))},
+                  {"outcome", std::string(outcome)},
+                  {"status", status == 0 ? "none" : std::to_string(status / 100) + "xx"}})
+        .add();
+    registry_
+        .histogram("currantlug_request_seconds", "Time from a request's arrival to the end of its answer.",
+                   {{"outcome", std::string(outcome)}})
+        .record(took);
+}
+
+void NodeMetrics::setReplicas(const serving::ReplicaTable &replicas, Instant now)
+{
+    std::map<std::pair<std::string, ReplicaCondition>, int> counts;
+    for (const auto &[id, replica] : replicas.all()) {
+        for (const auto &[condition, name] : ReplicaConditions) {
+            counts[{replica.entry.service, condition}] += conditionOf(replica, now) == condition ? 1 : 0;
+        }
+    }
+    for (const auto &[condition, name] : ReplicaConditions) {
+        for (const auto &[key, count] : counts) {
+            if (key.second == condition) {
+                registry_
+                    .gauge("currantlug_replicas", "Replicas by service and condition, as this node sees them.",
+                           {{"service", key.first}, {"condition", std::string(name)}})
+                    .set(count);
+            }
+        }
+    }
+}
+
+std::string NodeMetrics::exposition(const NodeStatus &status, const serving::ReplicaTable &replicas, Instant now)
+{
+    const auto set = [this](std::string_view name, std::string_view help, double value) {
+        registry_.gauge(name, help).set(value);
+    };
+    set("currantlug_ready", "1 while this node takes requests.", status.ready ? 1 : 0);
+    set("currantlug_leading", "1 while this node holds the controller lease.", status.leading ? 1 : 0);
+    set("currantlug_store_reached", "1 while the object store answers this node.", status.storeReached ? 1 : 0);
+    set("currantlug_config_version", "Version of the configuration in force.",
+        static_cast<double>(status.configVersion));
+    set("currantlug_nodes_in_contact", "Other nodes that answered lately.", static_cast<double>(status.nodesInContact));
+    set("currantlug_jobs_open", "Batch jobs that this node runs.", static_cast<double>(status.openJobs));
+    set("currantlug_connections_opened", "Connections opened since the start.",
+        static_cast<double>(status.connectionsOpened));
+    for (const auto &[state, name] : EnumNames<jobs::ItemState>::Table) {
+        const auto found = status.items.find(state);
+        registry_.gauge("currantlug_items", "Items of the open batch jobs by state.", {{"state", std::string(name)}})
+            .set(found == status.items.end() ? 0 : static_cast<double>(found->second));
+    }
+    setReplicas(replicas, now);
+    return registry_.exposition();
+}
+
+} // namespace currantlug::node
--- a/src/node/nodesettings.h
+++ b/src/node/nodesettings.h
@@ -20,6 +20,8 @@
     std::string readyAddress;
     std::string directoryAddress;
     std::string controlAddress;
+    std::string metricsAddress; ///< Empty: metrics aren't served.
+    std::string address; ///< IP address of the machine; may be empty.
     std::vector<std::string> seeds; ///< Control addresses of some nodes, which may be down.
     std::string storeAddress; ///< Object store.
     std::string dutyAddress; ///< Replica orders and usage reports.
--- /dev/null
+++ b/src/objects/meteredport.cpp
@@ -0,0 +1,69 @@
+// Wrapping of each operation of an object port.
+#include "objects/meteredport.h"
+
+#include "core/instant.h"
+#include "net/eventloop.h"
+
+#include <type_traits>
+
+namespace currantlug::objects {
+
+namespace {
+
+class CallMeter
+{
+public:
+    CallMeter(telemetry::MetricsRegistry &metrics, std::string operation)
+        : metrics_(metrics)
+        , operation_(std::move(operation))
+        , latency_(metrics.histogram("currantlug_store_call_seconds", "Time to the answer of an object store call.",
+                                     {{"operation", operation_}}))
+    {
+    }
+
+    /// `done` with the counting before it.
+    StoreCallback around(StoreCallback done, bool timed) const
+    {
+        return [*this, begun = net::loopNow(), timed, done = std::move(done)](StoreReply reply) {
+            metrics_
+                .counter("currantlug_store_calls_total", "Object store calls that ended.",
+                         {{"operation", operation_}, {"outcome", std::string(nameOf(reply.outcome))}})
+                .add();
+            if (timed) {
+                latency_.record(net::loopNow() - begun);
+            }
+            done(std::move(reply));
+        };
+    }
+
+private:
+    telemetry::MetricsRegistry &metrics_;
+    std::string operation_;
+    telemetry::LatencyHistogram &latency_;
+};
+
+/// One operation of the port. Its last parameter is the callback, which is replaced by a counting one.
+template<class... Arguments>
+void meter(std::type_identity_t<std::function<void(Arguments..., StoreCallback)>> &operation, const CallMeter &calls,
+           bool timed = true)
+{
+    operation = [calls, timed, pass = std::move(operation)](Arguments... arguments, StoreCallback done) {
+        pass(std::move(arguments)..., calls.around(std::move(done), timed));
+    };
+}
+
+} // namespace
+
+ObjectPort meteredPort(ObjectPort port, telemetry::MetricsRegistry &metrics)
+{
+    meter<std::string, std::string>(port.get, {metrics, "get"});
+    meter<std::string, std::string>(port.list, {metrics, "list"});
+    meter<std::string, std::uint64_t, absl::Duration>(port.watch, {metrics, "watch"}, false);
+    meter<std::string, std::string, Json>(port.create, {metrics, "create"});
+    meter<std::string, std::string, std::uint64_t, Json>(port.replace, {metrics, "replace"});
+    meter<std::string, std::string, std::uint64_t, Json>(port.replaceStatus, {metrics, "replace_status"});
+    meter<std::string, std::string>(port.remove, {metrics, "remove"});
+    return port;
+}
+
+} // namespace currantlug::objects
--- a/src/serving/requestrunner.cpp
+++ b/src/serving/requestrunner.cpp
@@ -46,12 +46,12 @@
 };
 
 RequestRunner::RequestRunner(net::Loop &loop, ReplicaTable &replicas, ReplicaPort port, RequestRunnerSettings settings,
-                             Began began)
+                             Observer observer)
     : loop_(loop)
     , replicas_(replicas)
     , port_(std::move(port))
     , settings_(settings)
-    , began_(std::move(began))
+    , observer_(std::move(observer))
 {
 }
 
@@ -165,7 +165,7 @@
     }
     run->attempts[index].began = true;
     if (!std::exchange(run->counted, true) && !run->workspace.empty()) {
-        began_(run->workspace);
+        observer_.began(run->workspace);
     }
     if (run->kind == RouteKind::Stream && response.status / 100 == 2) {
         run->streaming = true;
@@ -292,6 +292,8 @@
     for (const Attempt &attempt : run->attempts) {
         replicas += (replicas.empty() ? "" : ",") + attempt.replica;
     }
+    const absl::Duration took = net::loopNow() - run->request.arrived;
+    observer_.ended(run->kind, outcome, status, took);
     const bool good = status / 100 == 2;
     telemetry::log(good ? Level::Debug : Level::Warning, "request", "ended",
                    {telemetry::requestId(run->request.id),
@@ -300,7 +302,7 @@
                     {"route", run->routeName},
                     {"workspace", run->workspace},
                     {"replicas", replicas},
-                    {"took_ms", absl::ToInt64Milliseconds(net::loopNow() - run->request.arrived)}});
+                    {"took_ms", absl::ToInt64Milliseconds(took)}});
 }
 
 } // namespace currantlug::serving
--- a/src/serving/requestrunner.h
+++ b/src/serving/requestrunner.h
@@ -32,11 +32,16 @@
 class RequestRunner
 {
 public:
-    /// Called when a replica has begun to run a request of a workspace.
-    using Began = std::function<void(const std::string &workspace)>;
+    struct Observer
+    {
+        /// A replica has begun to run a request of a workspace.
+        std::function<void(const std::string &workspace)> began;
+        /// The request has got its final answer, or its client has left (status 0). `outcome` is a fixed text.
+        std::function<void(RouteKind kind, std::string_view outcome, int status, absl::Duration took)> ended;
+    };
 
     RequestRunner(net::Loop &loop, ReplicaTable &replicas, ReplicaPort port, RequestRunnerSettings settings,
-                  Began began);
+                  Observer observer);
 
     void run(InboundRequest request, const Route &route, const std::string &workspace, AnswerSink sink);
 
@@ -67,7 +72,7 @@
     ReplicaTable &replicas_;
     ReplicaPort port_;
     RequestRunnerSettings settings_;
-    Began began_;
+    Observer observer_;
 };
 
 } // namespace currantlug::serving
--- a/src/telemetry/log.cpp
+++ b/src/telemetry/log.cpp
@@ -17,6 +17,7 @@
 {
     std::mutex mutex;
     std::function<void(std::string_view)> sink; ///< Empty: stderr.
+    std::function<void(std::string_view, std::string_view)> observer; ///< May be empty.
 };
 
 Output &output()
@@ -111,6 +112,12 @@
     output().sink = std::move(sink);
 }
 
+void setEventObserver(std::function<void(std::string_view subsystem, std::string_view event)> observer)
+{
+    const std::lock_guard lock(output().mutex);
+    output().observer = std::move(observer);
+}
+
 std::string formatLine(Level level, std::string_view subsystem, std::string_view event, const Fields &fields)
 {
     std::string line = fmt::format("{} {} {}", nameOf(level), subsystem, event);
@@ -129,6 +136,12 @@
 
 void log(Level level, std::string_view subsystem, std::string_view event, const Fields &fields)
 {
+    {
+        const std::lock_guard lock(output().mutex);
+        if (output().observer) {
+            output().observer(subsystem, event);
+        }
+    }
     if (!isEnabled(level)) {
         return;
     }
--- a/src/telemetry/log.h
+++ b/src/telemetry/log.h
@@ -65,6 +65,10 @@
 /// Replaces stderr as the receiver of finished lines (each with its newline); an empty function restores stderr.
 void setSink(std::function<void(std::string_view)> sink);
 
+/// Called for each line, those below the level included; an empty function removes it. Subsystem and event are fixed
+/// texts of the code, so counts by them are bounded.
+void setEventObserver(std::function<void(std::string_view subsystem, std::string_view event)> observer);
+
 /// Writes one line. Thread-safe; lines of several threads do not mix.
 void log(Level level, std::string_view subsystem, std::string_view event, const Fields &fields = {});
 
--- a/src/telemetry/logbuffer.cpp
+++ b/src/telemetry/logbuffer.cpp
@@ -21,6 +21,7 @@
 {
     if (pending_.size() + line.size() > maxBytes_) {
         ++dropped_;
+        ++droppedInAll_;
         return;
     }
     pending_ += line;
--- a/src/telemetry/logbuffer.h
+++ b/src/telemetry/logbuffer.h
@@ -22,6 +22,7 @@
     void flush();
 
     std::uint64_t dropped() const { return dropped_; }
+    std::uint64_t droppedInAll() const { return droppedInAll_; }
     std::size_t waiting() const { return pending_.size(); }
 
 private:
@@ -29,6 +30,7 @@
     std::size_t maxBytes_;
     std::string pending_;
     std::uint64_t dropped_ = 0; ///< Since the last line that told so.
+    std::uint64_t droppedInAll_ = 0;
 };
 
 } // namespace currantlug::telemetry
--- a/tests/node/nodetest.cpp
+++ b/tests/node/nodetest.cpp
@@ -1,4 +1,4 @@
-// What a node answers while its configuration may be out of date.
+// What a node answers while its configuration may be out of date, and what its metrics say.
 #include "node/node.h"
 
 #include "fakes/memoryobjects.h"
@@ -122,6 +122,28 @@
     CHECK(lone.ask("/orders/1", "other-key") == 401);
 }
 
+// Guards against metrics that miss what on-call engineers are told to look at.
+TEST_CASE("metrics tell refusals, store calls and the state of the node")
+{
+    LoneNode lone;
+    REQUIRE(runUntil(lone.loop, [&lone] { return lone.ask("/other/", "known-key") == 404; }));
+    REQUIRE(lone.ask("/orders/1", "known-key") == 503);
+    const std::string text = lone.node.metrics();
+    const auto has = [&text](const char *part) { return text.find(part) != std::string::npos; };
+    CHECK(has("currantlug_ready 1"));
+    CHECK(has("currantlug_store_reached 1"));
+    CHECK(has("currantlug_requests_total{kind=\"safe\",outcome=\"no_replica\",status=\"5xx\"}"));
+    CHECK(has("currantlug_events_total{subsystem=\"request\",event=\"no_route\"}"));
+    CHECK(has("currantlug_events_total{subsystem=\"request\",event=\"refused\"}"));
+    CHECK(has("currantlug_store_calls_total{operation=\"list\",outcome=\"done\"}"));
+    CHECK(has("currantlug_store_call_seconds_bucket"));
+    CHECK(has("currantlug_request_seconds_count"));
+    CHECK(has("currantlug_items{state=\"waiting\"} 0"));
+    // Neither ids nor keys may become labels: their number has no bound.
+    CHECK_FALSE(has("r1"));
+    CHECK_FALSE(has("known-key"));
+}
+
 // Guards against a denial before any configuration is known.
 TEST_CASE("a node without a configuration asks to come back")
 {
--- a/tests/serving/requestrunnertest.cpp
+++ b/tests/serving/requestrunnertest.cpp
@@ -20,7 +20,9 @@
 public:
     explicit Bench(int replicas, RouteKind kind = RouteKind::Safe)
         : table({})
-        , runner(loop, table, port(), {}, [this](const std::string &workspace) { ++began[workspace]; })
+        , runner(loop, table, port(), {},
+                 {[this](const std::string &workspace) { ++began[workspace]; },
+                  [](RouteKind, std::string_view, int, absl::Duration) {}})
     {
         for (int i = 0; i < replicas; ++i) {
             ReplicaEntry entry;
