Pause between reads of the fixed usage figures; don't report without them

Cause: read-through: while 'plans/usage-frozen' can't be read, or the store refuses, the controller read it at each poll, ten paid calls a second, with an error line each. Change: one read in each usageRetry.

--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -335,12 +335,14 @@
 
 void Controller::loadFrozen()
 {
-    if (std::exchange(frozenLoading_, true)) {
+    if (net::loopNow() < frozenRetryAt_ || std::exchange(frozenLoading_, true)) {
         return;
     }
     context_.store.get(PlanKind, FrozenName, [this](const StoreReply &reply) {
         frozenLoading_ = false;
+        frozenRetryAt_ = net::loopNow() + context_.settings.usageRetry;
         if (reply.outcome == StoreOutcome::NotFound) {
+            frozenRetryAt_ = Instant();
             frozenRevision_ = 0;
             frozen_.clear();
             frozenLoaded_ = true;
@@ -348,10 +350,11 @@
             const objects::StoredObject &object = reply.changes.front().object;
             auto windows = readWindows(object.value);
             if (!windows) {
-                // Reporting goes on only by the figures that were fixed.
+                // Without the figures that were fixed, a window might be reported with others.
                 telemetry::log(Level::Error, "usage", "frozen_unreadable", {{"revision", object.revision}});
                 return;
             }
+            frozenRetryAt_ = Instant();
             frozenRevision_ = object.revision;
             frozen_ = std::move(*windows);
             frozenLoaded_ = true;
--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -137,6 +137,7 @@
     std::set<std::string> asking_; ///< Replicas whose report is under way.
     bool frozenLoaded_ = false;
     bool frozenLoading_ = false;
+    Instant frozenRetryAt_; ///< Not read again sooner after a failure.
     std::uint64_t frozenRevision_ = 0;
     std::map<std::uint64_t, WindowCounts> frozen_; ///< The newest windows whose counts are fixed.
     std::set<std::uint64_t> reported_;
--- a/src/control/leasedriver.cpp
+++ b/src/control/leasedriver.cpp
@@ -15,7 +15,7 @@
 constexpr const char *LeaseName = "controller";
 // Each read is paid for; a lease lapses after a few of these.
 constexpr absl::Duration ReadPeriod = absl::Milliseconds(800);
-// A release that isn't confirmed is repeated until the lease would have lapsed anyway.
+// A release that isn't confirmed is repeated for about half of the lease's duration; after that the lease soon lapses.
 constexpr absl::Duration ReleaseRetry = absl::Milliseconds(100);
 constexpr int ReleaseAttempts = 12;
 
--- a/tests/control/controllertest.cpp
+++ b/tests/control/controllertest.cpp
@@ -275,6 +275,26 @@
     CHECK_FALSE(pair.members[second].controller->takeUsage({{std::to_string(window), {{"w", "two"}}}}));
 }
 
+// Guards against reports by unknown figures, and against a store that is asked without a pause for what can't be read.
+TEST_CASE("usage isn't reported while the fixed figures can't be read")
+{
+    Pair pair;
+    pair.store.put("plans", "usage-frozen", {{"not a window", 1}});
+    REQUIRE(runUntil(pair.loop, [&pair] { return !pair.leader().empty(); }));
+    pair.members[pair.leader()].counts->add("w", absl::Now());
+    int reads = 0;
+    pair.store.setFault([&reads](const std::string &op, const std::string &kind, const std::string &) {
+        reads += op == "get" && kind == "plans" ? 1 : 0;
+        return StoreOutcome::Done;
+    });
+    runFor(pair.loop, std::chrono::milliseconds(1000));
+    CHECK(pair.reports.empty());
+    // One in each pause of 50 ms.
+    CHECK(reads <= 1000 / 50);
+    pair.store.put("plans", "usage-frozen", Json::object());
+    CHECK(runUntil(pair.loop, [&pair] { return !pair.reports.empty(); }));
+}
+
 // Guards against an operator who waits for ever for a disk machine to be emptied.
 TEST_CASE("a retirement is completed")
 {
