Read calls between nodes with the checks that daemons' messages pass

Cause: read-through: PeerMesh read CBOR by a copy of its own that lacked what mesh/message.cpp has for it. Bytes that announce an array of 2^63 - 1 elements make the library throw out of the event loop, which ends the node; any connection to the control address can send them. Change: the checked reader and the writer move from mesh/message.cpp to core/cbor, and both meshes call them. Booleans of other nodes' answers are read by fieldOr, which doesn't throw.

--- a/src/jobs/jobreading.cpp
+++ b/src/jobs/jobreading.cpp
@@ -123,7 +123,7 @@
             {"job", jobId}, {"workspace", workspace}, {"after", after}, {"wait_ms", absl::ToInt64Milliseconds(wait)}};
         context_.peers.call(record.owner, ReadMethod, call, wait + context_.settings.peerTimeout,
                             [=, this](absl::StatusOr<Json> reply) {
-                                auto page = reply.ok() && reply->value("found", false)
+                                auto page = reply.ok() && fieldOr<bool>(*reply, "found", false)
                                     ? parseResultPage((*reply)["page"])
                                     : std::nullopt;
                                 if (page) {
@@ -210,7 +210,7 @@
         }
         context_.peers.call(record.owner, BodyMethod, {{"job", jobId}, {"item", itemId}, {"workspace", workspace}},
                             context_.settings.peerTimeout, [=, this](absl::StatusOr<Json> reply) {
-                                if (reply.ok() && reply->value("found", false)) {
+                                if (reply.ok() && fieldOr<bool>(*reply, "found", false)) {
                                     done(ReadOutcome::Found, fieldOr<std::string>(*reply, "body", ""));
                                 } else {
                                     bodyFromStore(record, itemId, done);
--- a/src/jobs/jobtakeover.cpp
+++ b/src/jobs/jobtakeover.cpp
@@ -52,7 +52,7 @@
         }
         context_.peers.call(known->record.owner, EndMethod, {{"job", ending->jobId}, {"workspace", ending->workspace}},
                             context_.settings.peerTimeout, [this, ending](absl::StatusOr<Json> reply) {
-                                if (reply.ok() && reply->value("ended", false)) {
+                                if (reply.ok() && fieldOr<bool>(*reply, "ended", false)) {
                                     markEnded(ending->jobId);
                                     ending->done(ReadOutcome::Found);
                                 } else {
--- a/src/mesh/message.cpp
+++ b/src/mesh/message.cpp
@@ -1,6 +1,8 @@
 // CBOR encoding and the checks that untrusted messages pass before anything else sees them.
 #include "mesh/message.h"
 
+#include "core/cbor.h"
+
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -9,66 +11,6 @@
 
 namespace {
 
-// The CBOR reader of nlohmann json recurses once per level; a message of nested arrays could exhaust the stack.
-constexpr std::size_t MaxDepth = 64;
-
-// Accepts everything up to MaxDepth levels and keeps nothing.
-class DepthCheck final : public nlohmann::json_sax<Json>
-{
-public:
-    bool null() override { return true; }
-    bool boolean(bool) override { return true; }
-    bool number_integer(number_integer_t) override { return true; }
-    bool number_unsigned(number_unsigned_t) override { return true; }
-    bool number_float(number_float_t, const string_t &) override { return true; }
-    bool string(string_t &) override { return true; }
-    bool binary(binary_t &) override { return true; }
-    bool start_object(std::size_t) override { return ++depth_ <= MaxDepth; }
-    bool key(string_t &) override { return true; }
-    bool end_object() override { return leave(); }
-    bool start_array(std::size_t) override { return ++depth_ <= MaxDepth; }
-    bool end_array() override { return leave(); }
-    bool parse_error(std::size_t, const std::string &, const nlohmann::detail::exception &) override { return false; }
-
-private:
-    bool leave()
-    {
-        --depth_;
-        return true;
-    }
-
-    std::size_t depth_ = 0;
-};
-
-bool isShallow(const std::string &bytes)
-{
-    if (bytes.size() <= MaxDepth) {
-        return true; // Each level takes at least one byte.
-    }
-    DepthCheck check;
-    return Json::sax_parse(bytes, &check, Json::input_format_t::cbor);
-}
-
-std::optional<Json> parseCbor(const std::string &bytes)
-{
-    try {
-        Json json = Json::from_cbor(bytes, true, false);
-        if (json.is_discarded()) {
-            return std::nullopt;
-        }
-        return json;
-    } catch (const nlohmann::json::exception &) {
-        return std::nullopt; // A container that announces more elements than any could hold throws in any case.
-    }
-}
-
-std::string encode(const Json &message)
-{
-    std::string bytes;
-    Json::to_cbor(message, bytes);
-    return bytes;
-}
-
 std::optional<std::uint64_t> numberField(const Json &object, const char *name)
 {
     const auto found = object.find(name);
@@ -88,53 +30,50 @@
 
 std::string encodeHello(const MeshSettings &settings)
 {
-    return encode({{"t", HelloType},
-                   {"b",
-                    {{"protocol_min", settings.protocolMin},
-                     {"protocol_max", settings.protocolMax},
-                     {"daemon", settings.self.str()},
-                     {"incarnation", settings.incarnation},
-                     {"zone", settings.zone.str()}}}});
+    return encodeCbor({{"t", HelloType},
+                       {"b",
+                        {{"protocol_min", settings.protocolMin},
+                         {"protocol_max", settings.protocolMax},
+                         {"daemon", settings.self.str()},
+                         {"incarnation", settings.incarnation},
+                         {"zone", settings.zone.str()}}}});
 }
 
 std::string encodePing(std::uint64_t id)
 {
-    return encode({{"t", PingType}, {"id", id}});
+    return encodeCbor({{"t", PingType}, {"id", id}});
 }
 
 std::string encodePong(std::uint64_t replyTo)
 {
-    return encode({{"t", PongType}, {"re", replyTo}});
+    return encodeCbor({{"t", PongType}, {"re", replyTo}});
 }
 
 std::string encodeRequest(std::string_view type, std::uint64_t id, Json body)
 {
     Json message = {{"t", type}, {"id", id}};
     message["b"] = std::move(body);
-    return encode(message);
+    return encodeCbor(message);
 }
 
 std::string encodeReply(std::uint64_t replyTo, Json body)
 {
     Json message = {{"re", replyTo}};
     message["b"] = std::move(body);
-    return encode(message);
+    return encodeCbor(message);
 }
 
 std::string encodeErrorReply(std::uint64_t replyTo, const absl::Status &error)
 {
-    return encode({{"re", replyTo},
-                   {"err",
-                    {{"code", static_cast<int>(error.code())},
-                     {"message", std::string(error.message())},
-                     {"outcome", nameOf(errorContext(error).outcome)}}}});
+    return encodeCbor({{"re", replyTo},
+                       {"err",
+                        {{"code", static_cast<int>(error.code())},
+                         {"message", std::string(error.message())},
+                         {"outcome", nameOf(errorContext(error).outcome)}}}});
 }
 
 std::optional<Message> decodeMessage(const std::string &bytes)
 {
-    if (!isShallow(bytes)) {
-        return std::nullopt;
-    }
     std::optional<Json> json = parseCbor(bytes);
     if (!json || !json->is_object()) {
         return std::nullopt;
--- a/src/node/peermesh.cpp
+++ b/src/node/peermesh.cpp
@@ -1,6 +1,7 @@
 // Questions, answers and calls between nodes: HTTP with CBOR bodies.
 #include "node/peermesh.h"
 
+#include "core/cbor.h"
 #include "core/error.h"
 #include "telemetry/log.h"
 
@@ -18,19 +19,6 @@
 constexpr std::string_view PathPrefix = "/peer/";
 constexpr const char *SyncMethod = "sync";
 
-std::string toCbor(const Json &value)
-{
-    std::string bytes;
-    Json::to_cbor(value, bytes);
-    return bytes;
-}
-
-std::optional<Json> fromCbor(const std::string &bytes)
-{
-    Json value = Json::from_cbor(bytes, true, false);
-    return value.is_discarded() ? std::nullopt : std::optional(std::move(value));
-}
-
 } // namespace
 
 Json toJson(const NodeInfo &info)
@@ -163,7 +151,7 @@
     request.method = "POST";
     request.target = std::string(PathPrefix) + SyncMethod;
     request.headers.add("Host", control);
-    request.body = toCbor(hello());
+    request.body = encodeCbor(hello());
     net::ClientLimits limits;
     limits.connect = settings_.timeout;
     limits.total = settings_.timeout;
@@ -173,7 +161,7 @@
         if (found != peers_.end()) {
             found->second.asking = false;
         }
-        const auto reply = response.ok() && response->status == 200 ? fromCbor(response->body) : std::nullopt;
+        const auto reply = response.ok() && response->status == 200 ? parseCbor(response->body) : std::nullopt;
         if (reply) {
             answered(name, *reply);
         } else if (found != peers_.end() && !response.ok() && response.status().code() == absl::StatusCode::kUnavailable
@@ -238,9 +226,9 @@
     const auto respond = [call](const Json &value) {
         net::Headers headers;
         headers.add("Content-Type", "application/cbor");
-        call->respond(200, headers, toCbor(value));
+        call->respond(200, headers, encodeCbor(value));
     };
-    const auto body = fromCbor(request.body);
+    const auto body = parseCbor(request.body);
     if (!absl::StartsWith(request.target, std::string(PathPrefix)) || !body) {
         call->respond(400, {}, "not a call between nodes");
         return;
@@ -289,7 +277,7 @@
     request.method = "POST";
     request.target = std::string(PathPrefix) + method;
     request.headers.add("Host", found->second.control);
-    request.body = toCbor(body);
+    request.body = encodeCbor(body);
     net::ClientLimits limits;
     limits.connect = std::min(timeout, settings_.timeout);
     limits.total = timeout;
@@ -299,7 +287,7 @@
             done(response.status());
             return;
         }
-        auto reply = response->status == 200 ? fromCbor(response->body) : std::nullopt;
+        auto reply = response->status == 200 ? parseCbor(response->body) : std::nullopt;
         if (!reply) {
             done(makeError(absl::StatusCode::kDataLoss, Step::Mesh, node, Outcome::MayHaveRun, "unreadable answer"));
             return;
--- a/tests/core/coretest.cpp
+++ b/tests/core/coretest.cpp
@@ -1,4 +1,5 @@
 // Core building blocks: errors keep their context, ids of removed objects stay invalid, hashes stay stable.
+#include "core/cbor.h"
 #include "core/error.h"
 #include "core/hash.h"
 #include "core/json.h"
@@ -55,6 +56,17 @@
     CHECK(fieldOr<std::string>(object, "s", "x") == "x");
 }
 
+TEST_CASE("CBOR of another process can't end this one", "[core]")
+{
+    const Json value{{"a", {1, 2}}, {"b", "text"}};
+    CHECK(parseCbor(encodeCbor(value)) == value);
+    const std::string deep(100000, '\x81'); // Arrays nested 100,000 deep would exhaust the stack.
+    const std::string huge("\x9b\x7f\xff\xff\xff\xff\xff\xff\xff", 9); // An array that announces 2^63 - 1 elements.
+    for (const std::string &broken : {deep, huge, std::string("\xff"), encodeCbor(value) + "x", std::string()}) {
+        CHECK_FALSE(parseCbor(broken).has_value());
+    }
+}
+
 TEST_CASE("the fake store refuses a write at an old version", "[core]")
 {
     fakes::FakeObjectStore store;
