--- a/src/control/leasedriver.cpp
+++ b/src/control/leasedriver.cpp
@@ -57,8 +57,8 @@
     store_.get(LeaseKind, LeaseName, [this](const StoreReply &reply) {
         calling_ = false;
         observe(reply);
-        seen_ = seen_ || reply.outcome == StoreOutcome::Done || reply.outcome == StoreOutcome::NotFound;
         const bool answered = reply.outcome == StoreOutcome::Done || reply.outcome == StoreOutcome::NotFound;
+        seen_ = seen_ || answered;
         if (answered && candidate_ && !decision_.holds() && decision_.mayAcquire(net::loopNow())) {
             write();
         }
--- a/src/core/json.h
+++ b/src/core/json.h
@@ -46,6 +46,12 @@
     }
 }
 
+/// The field's value; null where the value is no object or has no such field.
+inline Json fieldOrNull(const Json &object, const char *name)
+{
+    return object.is_object() && object.contains(name) ? object[name] : Json();
+}
+
 } // namespace currantlug
 
 #endif
--- a/src/jobs/itemtracker.cpp
+++ b/src/jobs/itemtracker.cpp
@@ -5,6 +5,12 @@
 
 namespace currantlug::jobs {
 
+bool versionsFit(const std::vector<std::uint64_t> &versions, std::uint64_t minVersion, bool singleVersion)
+{
+    return !versions.empty() && *std::min_element(versions.begin(), versions.end()) >= minVersion
+        && (!singleVersion || versions.size() == 1);
+}
+
 ItemTracker::ItemTracker(const JobSpec &spec)
 {
     for (const ItemSpec &item : spec.items) {
@@ -40,11 +46,8 @@
 bool ItemTracker::reuse(std::size_t index, const ItemText &text, std::uint64_t minVersion, bool singleVersion)
 {
     Item &item = items_[index];
-    if (item.state != ItemState::Waiting || text.events.size() <= item.text.events.size() || text.versions.empty()) {
-        return false;
-    }
-    const std::uint64_t oldest = *std::min_element(text.versions.begin(), text.versions.end());
-    if (oldest < minVersion || (singleVersion && text.versions.size() != 1)) {
+    if (item.state != ItemState::Waiting || text.events.size() <= item.text.events.size()
+        || !versionsFit(text.versions, minVersion, singleVersion)) {
         return false;
     }
     item.text = text;
--- a/src/jobs/itemtracker.h
+++ b/src/jobs/itemtracker.h
@@ -59,6 +59,9 @@
     Instant finishedAt;
 };
 
+/// True if a job with these demands may use text that was made under the versions.
+bool versionsFit(const std::vector<std::uint64_t> &versions, std::uint64_t minVersion, bool singleVersion);
+
 class ItemTracker
 {
 public:
--- a/src/jobs/job.cpp
+++ b/src/jobs/job.cpp
@@ -23,11 +23,6 @@
     return numbers;
 }
 
-Json fieldOrNull(const Json &value, const char *name)
-{
-    return value.is_object() && value.contains(name) ? value[name] : Json();
-}
-
 } // namespace
 
 void ItemText::addVersion(std::uint64_t version)
--- a/src/jobs/jobreading.cpp
+++ b/src/jobs/jobreading.cpp
@@ -71,7 +71,7 @@
 void JobService::readOwned(Owned &owned, std::uint64_t after, absl::Duration wait, PageCallback done)
 {
     const ResultLog &log = owned.runner->log();
-    if (after < log.size() || owned.runner->stopped() || owned.runner->complete() || wait <= absl::ZeroDuration()) {
+    if (after < log.size() || !owned.runner->open() || wait <= absl::ZeroDuration()) {
         done(ReadOutcome::Found, log.page(after, owned.record.total, context_.settings.pageBytes));
         return;
     }
@@ -89,8 +89,7 @@
     std::vector<Waiter> kept;
     std::vector<Waiter> ready;
     for (Waiter &waiter : owned.waiters) {
-        const bool due = waiter.after < owned.runner->log().size() || waiter.until <= now || owned.runner->stopped()
-            || owned.runner->complete();
+        const bool due = waiter.after < owned.runner->log().size() || waiter.until <= now || !owned.runner->open();
         (due ? ready : kept).push_back(std::move(waiter));
     }
     owned.waiters = std::move(kept);
--- a/src/jobs/jobrunner.cpp
+++ b/src/jobs/jobrunner.cpp
@@ -47,6 +47,17 @@
     return config == nullptr ? nullptr : config->match(spec_.host, spec_.path);
 }
 
+bool JobRunner::singleVersion() const
+{
+    const serving::Route *route = this->route();
+    return route != nullptr && route->singleVersion;
+}
+
+bool JobRunner::wouldMix(const Item &item, std::uint64_t version) const
+{
+    return singleVersion() && !item.text.empty() && item.text.versions.front() != version;
+}
+
 void JobRunner::pump()
 {
     const serving::Route *route = this->route();
@@ -182,9 +193,7 @@
         requeue(index, "weights too old", VersionPause);
         return;
     }
-    const serving::Route *route = this->route();
-    if (route != nullptr && route->singleVersion && !item.text.empty()
-        && item.text.versions.front() != *head.weightVersion) {
+    if (wouldMix(item, *head.weightVersion)) {
         item.text = {};
         requeue(index, "other weights than its text", VersionPause);
         return;
@@ -226,9 +235,7 @@
         requeue(index, "event out of order", context_.settings.failurePause);
         return;
     }
-    const serving::Route *route = this->route();
-    if (route != nullptr && route->singleVersion && !item.text.empty()
-        && item.text.versions.front() != version->second) {
+    if (wouldMix(item, version->second)) {
         item.text = {};
         requeue(index, "weights changed", VersionPause);
         return;
@@ -299,8 +306,7 @@
 void JobRunner::reuseText(const std::string &itemId, const ItemText &text)
 {
     const auto index = tracker_.find(itemId);
-    const serving::Route *route = this->route();
-    if (index && tracker_.reuse(*index, text, spec_.minVersion, route != nullptr && route->singleVersion)) {
+    if (index && tracker_.reuse(*index, text, spec_.minVersion, singleVersion())) {
         telemetry::log(Level::Info, "item", "text_reused",
                        {telemetry::requestId(itemId), {"job", spec_.id}, {"events", text.events.size()}});
     }
@@ -309,10 +315,8 @@
 void JobRunner::reuseResult(const ItemResult &result)
 {
     const auto index = tracker_.find(result.id);
-    const serving::Route *route = this->route();
-    if (!index || result.state != ResultState::Completed || result.versions.empty()
-        || *std::min_element(result.versions.begin(), result.versions.end()) < spec_.minVersion
-        || (route != nullptr && route->singleVersion && result.versions.size() != 1)
+    if (!index || result.state != ResultState::Completed
+        || !versionsFit(result.versions, spec_.minVersion, singleVersion())
         || tracker_.items()[*index].state != ItemState::Waiting) {
         return;
     }
--- a/src/jobs/jobrunner.h
+++ b/src/jobs/jobrunner.h
@@ -29,6 +29,8 @@
     ItemTracker &tracker() { return tracker_; }
     bool complete() const { return tracker_.allListed(); }
     bool stopped() const { return stopped_; }
+    /// True while items are still to be run or stored here.
+    bool open() const { return !stopped_ && !complete(); }
 
     /// Sends what waits, as far as replicas have room.
     void pump();
@@ -60,6 +62,10 @@
     void onForeignSegment(const objects::StoreReply &reply);
     void adopt(const Segment &segment);
     const serving::Route *route() const;
+    /// True if the route wants texts of one weight version each.
+    bool singleVersion() const;
+    /// True if text of this version must not follow what the item has.
+    bool wouldMix(const Item &item, std::uint64_t version) const;
     std::string segmentKind() const;
 
     JobContext &context_;
--- a/src/jobs/jobservice.cpp
+++ b/src/jobs/jobservice.cpp
@@ -16,6 +16,16 @@
 using objects::StoreReply;
 using telemetry::Level;
 
+namespace {
+
+/// The answer to a submission of a job that has been accepted before. Another workspace must not learn of it.
+SubmitOutcome outcomeOfRepeated(const JobSpec &spec, const JobRecord &accepted)
+{
+    return spec.workspace == accepted.workspace ? SubmitOutcome::Accepted : SubmitOutcome::Refused;
+}
+
+} // namespace
+
 struct JobService::Submission
 {
     JobSpec spec;
@@ -33,6 +43,11 @@
 {
 }
 
+bool JobService::isOurs(const JobRecord &record) const
+{
+    return record.owner == context_.node && record.ownerIncarnation == context_.incarnation;
+}
+
 Instant JobService::dropTime(std::int64_t submittedMs) const
 {
     const absl::Duration age = std::max(absl::ZeroDuration(), absl::Now() - absl::FromUnixMillis(submittedMs));
@@ -44,11 +59,11 @@
 void JobService::submit(JobSpec spec, std::function<void(SubmitOutcome)> done)
 {
     if (const auto owned = owned_.find(spec.id); owned != owned_.end()) {
-        done(owned->second->record.workspace == spec.workspace ? SubmitOutcome::Accepted : SubmitOutcome::Refused);
+        done(outcomeOfRepeated(spec, owned->second->record));
         return;
     }
     if (const auto known = known_.find(spec.id); known != known_.end()) {
-        done(known->second.record.workspace == spec.workspace ? SubmitOutcome::Accepted : SubmitOutcome::Refused);
+        done(outcomeOfRepeated(spec, known->second.record));
         return;
     }
     if (const auto open = submissions_.find(spec.id); open != submissions_.end()) {
@@ -92,7 +107,15 @@
     record.parts = submission->parts.size();
     submission->spec = std::move(spec);
     submissions_[record.id] = submission;
-    askForTexts(submission);
+    const Json ids = itemIds(submission->spec);
+    submission->texts.push_back(textsFor(ids));
+    askForTexts(ids, [this, submission](const Json &texts) {
+        if (submissions_.contains(submission->record.id)) {
+            submission->texts.push_back(texts);
+        } else {
+            applyTexts(submission->record.id, texts);
+        }
+    });
     writePart(submission, 0);
 }
 
@@ -174,14 +197,11 @@
             return;
         }
         known_[record->id] = {*record, object.revision, dropTime(record->submittedMs)};
-        const bool ours = record->submission == submission->record.submission && record->owner == context_.node
-            && record->ownerIncarnation == context_.incarnation;
+        const bool ours = record->submission == submission->record.submission && isOurs(*record);
         if (ours && !record->ended && !released_) {
             own(*record, object.revision, submission->spec, {});
         }
-        finishSubmission(submission,
-                         record->workspace == submission->spec.workspace ? SubmitOutcome::Accepted
-                                                                         : SubmitOutcome::Refused);
+        finishSubmission(submission, outcomeOfRepeated(submission->spec, *record));
         pump();
     });
 }
@@ -231,7 +251,7 @@
             }
             return;
         }
-        if (known->record.owner != context_.node || known->record.ownerIncarnation != context_.incarnation) {
+        if (!isOurs(known->record)) {
             loseOwnership(jobId);
             return;
         }
@@ -264,23 +284,22 @@
 
 // Text of earlier jobs
 
-void JobService::askForTexts(const std::shared_ptr<Submission> &submission)
+Json JobService::itemIds(const JobSpec &spec)
 {
     Json ids = Json::array();
-    for (const ItemSpec &item : submission->spec.items) {
+    for (const ItemSpec &item : spec.items) {
         ids.push_back(item.id);
     }
-    submission->texts.push_back(textsFor(ids));
+    return ids;
+}
+
+void JobService::askForTexts(const Json &ids, const std::function<void(const Json &)> &take)
+{
     for (const std::string &node : context_.peers.live()) {
         context_.peers.call(node, TextsMethod, {{"ids", ids}}, context_.settings.textTimeout,
-                            [this, submission](absl::StatusOr<Json> reply) {
-                                if (!reply.ok() || reply->empty()) {
-                                    return;
-                                }
-                                if (submissions_.contains(submission->record.id)) {
-                                    submission->texts.push_back(*std::move(reply));
-                                } else {
-                                    applyTexts(submission->record.id, *reply);
+                            [take](const absl::StatusOr<Json> &texts) {
+                                if (texts.ok() && !texts->empty()) {
+                                    take(*texts);
                                 }
                             });
     }
@@ -374,10 +393,9 @@
 {
     std::vector<std::string> open;
     for (const auto &[id, owned] : owned_) {
-        if (owned->runner->stopped() || owned->runner->complete()) {
-            continue;
+        if (owned->runner->open()) {
+            open.push_back(id);
         }
-        open.push_back(id);
     }
     for (const std::string &id : open) {
         checkOwner(id);
@@ -393,20 +411,18 @@
 
 std::size_t JobService::openJobs() const
 {
-    return static_cast<std::size_t>(std::count_if(owned_.begin(), owned_.end(), [](const auto &entry) {
-        return !entry.second->runner->stopped() && !entry.second->runner->complete();
-    }));
+    return static_cast<std::size_t>(
+        std::count_if(owned_.begin(), owned_.end(), [](const auto &entry) { return entry.second->runner->open(); }));
 }
 
 std::map<ItemState, std::size_t> JobService::itemCounts() const
 {
     std::map<ItemState, std::size_t> counts;
     for (const auto &[id, owned] : owned_) {
-        if (owned->runner->stopped() || owned->runner->complete()) {
-            continue;
-        }
-        for (const Item &item : owned->runner->tracker().items()) {
-            ++counts[item.state];
+        if (owned->runner->open()) {
+            for (const Item &item : owned->runner->tracker().items()) {
+                ++counts[item.state];
+            }
         }
     }
     return counts;
@@ -419,7 +435,7 @@
     absl::erase_if(copies_, [now](const auto &entry) { return entry.second.dropAt <= now; });
     std::vector<std::string> old;
     for (const auto &[id, owned] : owned_) {
-        if (owned->dropAt <= now && (owned->runner->stopped() || owned->runner->complete())) {
+        if (owned->dropAt <= now && !owned->runner->open()) {
             old.push_back(id);
         }
     }
--- a/src/jobs/jobservice.h
+++ b/src/jobs/jobservice.h
@@ -11,8 +11,8 @@
 #include "jobs/jobrunner.h"
 
 #include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
 
-#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -118,7 +118,9 @@
     void checkOwner(const std::string &jobId);
     /// Stops running a job that another node took over.
     void loseOwnership(const std::string &jobId);
-    void askForTexts(const std::shared_ptr<Submission> &submission);
+    static Json itemIds(const JobSpec &spec);
+    /// Asks the other nodes for text that they have of these items. `take` is called with each answer that has some.
+    void askForTexts(const Json &ids, const std::function<void(const Json &)> &take);
     Json textsFor(const Json &ids) const;
     static void addTexts(JobRunner &runner, const Json &ids, Json &texts);
     void applyTexts(const std::string &jobId, const Json &texts);
@@ -146,6 +148,8 @@
     void takeOver(const JobRecord &record, std::uint64_t revision);
     void dropOld(Instant now);
     Instant dropTime(std::int64_t submittedMs) const;
+    /// True if this incarnation of the node owns the job.
+    bool isOurs(const JobRecord &record) const;
 
     JobContext context_;
     absl::flat_hash_map<std::string, std::unique_ptr<Owned>> owned_;
@@ -153,7 +157,7 @@
     absl::flat_hash_map<std::string, Known> known_; ///< Records as last read.
     absl::flat_hash_map<std::string, Copy> copies_;
     absl::flat_hash_map<std::string, std::shared_ptr<Submission>> submissions_; ///< Under way.
-    absl::flat_hash_map<std::string, Instant> takingOver_;
+    absl::flat_hash_set<std::string> takingOver_;
     Instant lastRecheck_;
     bool scanning_ = false;
     bool released_ = false;
--- a/src/jobs/jobtakeover.cpp
+++ b/src/jobs/jobtakeover.cpp
@@ -82,7 +82,7 @@
             return;
         }
         record.ended = true;
-        const bool ours = record.owner == context_.node && record.ownerIncarnation == context_.incarnation;
+        const bool ours = isOurs(record);
         context_.store.replace(RecordKind, ending->jobId, revision, toJson(record),
                                [this, ending, retry, ours](const StoreReply &reply) {
                                    if (reply.outcome == StoreOutcome::Done) {
@@ -187,7 +187,7 @@
         known_.erase(jobId);
         reply(Json::object());
     } else if (method == TextsMethod) {
-        reply(textsFor(body.contains("ids") ? body["ids"] : Json::array()));
+        reply(textsFor(fieldOrNull(body, "ids")));
     } else {
         return false;
     }
@@ -220,7 +220,7 @@
             telemetry::log(Level::Warning, "job", "record_unreadable", {{"job", change.object.name}});
             continue;
         }
-        const bool mine = record->owner == context_.node && record->ownerIncarnation == context_.incarnation;
+        const bool mine = isOurs(*record);
         if (record->ended || owned_.contains(record->id) || submissions_.contains(record->id)
             || (!mine && !context_.peers.isGone(record->owner, record->ownerIncarnation))) {
             continue;
@@ -253,7 +253,7 @@
     if (takingOver_.contains(record.id)) {
         return;
     }
-    takingOver_[record.id] = net::loopNow();
+    takingOver_.insert(record.id);
     JobRecord mine = record;
     mine.owner = context_.node;
     mine.ownerIncarnation = context_.incarnation;
@@ -294,18 +294,7 @@
                 takingOver_.erase(mine.id);
                 own(mine, owned, spec, std::move(*log));
                 owned_[mine.id]->runner->fence();
-                Json ids = Json::array();
-                for (const ItemSpec &item : owned_[mine.id]->runner->spec().items) {
-                    ids.push_back(item.id);
-                }
-                for (const std::string &node : context_.peers.live()) {
-                    context_.peers.call(node, TextsMethod, {{"ids", ids}}, context_.settings.textTimeout,
-                                        [this, id = mine.id](const absl::StatusOr<Json> &texts) {
-                                            if (texts.ok()) {
-                                                applyTexts(id, *texts);
-                                            }
-                                        });
-                }
+                askForTexts(itemIds(spec), [this, id = mine.id](const Json &texts) { applyTexts(id, texts); });
                 pump();
             });
         });
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -12,8 +12,6 @@
 namespace currantlug::node {
 
 using objects::ObjectChange;
-using objects::StoreOutcome;
-using objects::StoreReply;
 using telemetry::Level;
 
 namespace {
@@ -211,7 +209,7 @@
 
 bool Node::storeReached() const
 {
-    return configMirror_.synced() && !configMirror_.failing();
+    return configMirror_.current();
 }
 
 bool Node::configCurrent() const
@@ -403,7 +401,7 @@
     if (config_ && config_->revision > configRevision) {
         reply["config"] = encodeObject(configObject_);
     }
-    if (replicaMirror_.synced() && !replicaMirror_.failing()) {
+    if (replicaMirror_.current()) {
         Json replicas = Json::array();
         for (const auto &[id, object] : replicaObjects_) {
             replicas.push_back(encodeObject(object));
--- a/src/node/nodestate.cpp
+++ b/src/node/nodestate.cpp
@@ -164,7 +164,7 @@
     for (const NodeInfo &node : mesh_.contacts()) {
         behind = behind || (config_ ? node.configRevision > config_->revision : node.configRevision > 0);
     }
-    const bool blind = !storeReached() || replicaMirror_.failing() || !replicaMirror_.synced();
+    const bool blind = !storeReached() || !replicaMirror_.current();
     if (catchingUp_ || (!behind && !blind)) {
         return;
     }
@@ -190,8 +190,7 @@
     if (reply.contains("config")) {
         applyConfig(decodeObject(reply["config"]), "node");
     }
-    const bool blind = replicaMirror_.failing() || !replicaMirror_.synced();
-    if (!reply.contains("replicas") || !blind) {
+    if (!reply.contains("replicas") || replicaMirror_.current()) {
         return;
     }
     std::map<std::string, objects::StoredObject> listed;
--- a/src/node/relayedstore.cpp
+++ b/src/node/relayedstore.cpp
@@ -34,7 +34,7 @@
     reply.outcome = *outcome;
     reply.asOf = fieldOr<std::uint64_t>(value, "as_of", 0);
     reply.more = fieldOr<bool>(value, "more", false);
-    for (const Json &change : value.contains("changes") ? value["changes"] : Json::array()) {
+    for (const Json &change : fieldOrNull(value, "changes")) {
         reply.changes.push_back({decodeObject(change), false});
     }
     return reply;
@@ -52,7 +52,7 @@
     StoredObject object;
     object.name = fieldOr<std::string>(value, "name", "");
     object.revision = fieldOr<std::uint64_t>(value, "revision", 0);
-    object.value = value.is_object() && value.contains("value") ? value["value"] : Json();
+    object.value = fieldOrNull(value, "value");
     return object;
 }
 
@@ -135,7 +135,7 @@
     const std::string op = fieldOr<std::string>(body, "op", "");
     const std::string kind = fieldOr<std::string>(body, "kind", "");
     const std::string name = fieldOr<std::string>(body, "name", "");
-    const Json value = body.contains("value") ? body["value"] : Json();
+    const Json value = fieldOrNull(body, "value");
     if (op == "get") {
         direct.get(kind, name, done);
     } else if (op == "list") {
--- a/src/objects/objectmirror.h
+++ b/src/objects/objectmirror.h
@@ -45,6 +45,8 @@
     bool synced() const { return synced_; }
     /// True while the last call failed.
     bool failing() const { return failures_ > 0; }
+    /// True while the copy is complete and hears of changes.
+    bool current() const { return synced_ && !failing(); }
     /// When the store last answered; the origin before it ever did.
     Instant lastAnswer() const { return lastAnswer_; }
     /// End of the last failure; the origin if there was none.
--- a/src/serving/requestrunner.cpp
+++ b/src/serving/requestrunner.cpp
@@ -43,6 +43,11 @@
         : timer(loop)
     {
     }
+
+    bool anyOpen() const
+    {
+        return std::any_of(attempts.begin(), attempts.end(), [](const Attempt &attempt) { return attempt.open; });
+    }
 };
 
 RequestRunner::RequestRunner(net::Loop &loop, ReplicaTable &replicas, ReplicaPort port, RequestRunnerSettings settings,
@@ -95,9 +100,7 @@
     const Instant now = net::loopNow();
     Replica *replica = replicas_.chooseForRequest(run->service, run->tried, now);
     if (replica == nullptr) {
-        const bool open = std::any_of(run->attempts.begin(), run->attempts.end(),
-                                      [](const Attempt &attempt) { return attempt.open; });
-        if (!open) {
+        if (!run->anyOpen()) {
             const int status = run->mayHaveRun ? 502 : 503;
             refuse(run->sink, status, "no replica available", settings_.retryAfter);
             end(run, "no_replica", status);
@@ -222,8 +225,7 @@
         end(run, "served", response->status);
         return;
     }
-    const bool othersOpen =
-        std::any_of(run->attempts.begin(), run->attempts.end(), [](const Attempt &attempt) { return attempt.open; });
+    const bool othersOpen = run->anyOpen();
     if (isReplicaFailure(response->status) && run->repeatable && (othersOpen || mayTryAgain(*run))) {
         run->mayHaveRun = true;
         if (!othersOpen) {
@@ -242,8 +244,7 @@
         end(run, "replica_broke_off", 0);
         return;
     }
-    const bool othersOpen =
-        std::any_of(run->attempts.begin(), run->attempts.end(), [](const Attempt &attempt) { return attempt.open; });
+    const bool othersOpen = run->anyOpen();
     const bool repeat = !run->mayHaveRun || run->repeatable;
     if (repeat && mayTryAgain(*run)) {
         launch(run);
