Report usage by a class of its own

A gathered answer that can't be read counted as zero without a word. Change: UsageReporter with its settings; the stored form of counts beside RequestCounts, one reader and one writer for the fixed figures and the handed over ones. An unreadable answer is logged as counts_missing. The test calls the new names; its assertions stay.

--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -3,9 +3,6 @@
 
 #include "telemetry/log.h"
 
-#include <absl/strings/numbers.h>
-#include <absl/time/clock.h>
-
 #include <algorithm>
 
 namespace currantlug::control {
@@ -16,39 +13,16 @@
 
 namespace {
 
-constexpr const char *PlanKind = "plans";
 constexpr const char *TargetName = "replica-targets";
-constexpr const char *FrozenName = "usage-frozen";
-// Windows kept in the frozen object; a controller reports at most a few behind the present one.
-constexpr std::size_t KeptFrozen = 12;
-
-/// Counts by window as they are stored and passed on; nothing if a part can't be read.
-std::optional<std::map<std::uint64_t, WindowCounts>> readWindows(const Json &value)
-{
-    std::map<std::uint64_t, WindowCounts> windows;
-    if (!value.is_object()) {
-        return std::nullopt;
-    }
-    for (const auto &[key, counts] : value.items()) {
-        std::uint64_t window = 0;
-        if (!absl::SimpleAtoi(key, &window) || !counts.is_object()) {
-            return std::nullopt;
-        }
-        for (const auto &[workspace, count] : counts.items()) {
-            if (!count.is_number_unsigned()) {
-                return std::nullopt;
-            }
-            windows[window][workspace] = count.get<std::uint64_t>();
-        }
-    }
-    return windows;
-}
 
 } // namespace
 
 Controller::Controller(ControllerContext context)
     : context_(std::move(context))
     , lease_(context_.loop, context_.store, context_.machine, context_.lease)
+    , usage_(
+          context_.counts, context_.store, context_.peers, context_.duties.reportUsage, [this] { return holder(); },
+          context_.settings.usage)
     , versions_(context_.loop, context_.store, context_.kinds.versions, {},
                 [this](const objects::ObjectChange &change) {
                     const auto named = context_.kinds.parseVersion(change.object);
@@ -81,7 +55,7 @@
     const Instant now = net::loopNow();
     pollWeights(now);
     pollScale(now);
-    pollUsage(now);
+    usage_.poll(now);
 }
 
 void Controller::pollLease()
@@ -131,9 +105,7 @@
     versions_.start();
     retirements_.start();
     targetLoaded_ = false;
-    frozenLoaded_ = false;
-    reports_.clear();
-    firstWindow_.reset();
+    usage_.start();
 }
 
 void Controller::stopLeading()
@@ -299,203 +271,6 @@
     }
 }
 
-// Usage
-
-Json Controller::usageOf(std::uint64_t window) const
-{
-    Json counts = Json::object();
-    for (const auto &[workspace, count] : context_.counts.of(window)) {
-        counts[workspace] = count;
-    }
-    return {{"counts", std::move(counts)}};
-}
-
-Json Controller::usageToHandOver() const
-{
-    Json windows = Json::object();
-    for (const auto &[window, counts] : context_.counts.all()) {
-        windows[std::to_string(window)] = counts;
-    }
-    return windows;
-}
-
-bool Controller::takeUsage(const Json &handedOver)
-{
-    const auto windows = readWindows(handedOver);
-    if (!windows) {
-        return false;
-    }
-    for (const auto &[window, counts] : *windows) {
-        for (const auto &[workspace, count] : counts) {
-            context_.counts.add(workspace, window, count);
-        }
-    }
-    return true;
-}
-
-void Controller::loadFrozen()
-{
-    if (net::loopNow() < frozenRetryAt_ || std::exchange(frozenLoading_, true)) {
-        return;
-    }
-    context_.store.get(PlanKind, FrozenName, [this](const StoreReply &reply) {
-        frozenLoading_ = false;
-        frozenRetryAt_ = net::loopNow() + context_.settings.usageRetry;
-        if (reply.outcome == StoreOutcome::NotFound) {
-            frozenRetryAt_ = Instant();
-            frozenRevision_ = 0;
-            frozen_.clear();
-            frozenLoaded_ = true;
-        } else if (reply.outcome == StoreOutcome::Done && !reply.changes.empty()) {
-            const objects::StoredObject &object = reply.changes.front().object;
-            auto windows = readWindows(object.value);
-            if (!windows) {
-                // Without the figures that were fixed, a window might be reported with others.
-                telemetry::log(Level::Error, "usage", "frozen_unreadable", {{"revision", object.revision}});
-                return;
-            }
-            frozenRetryAt_ = Instant();
-            frozenRevision_ = object.revision;
-            frozen_ = std::move(*windows);
-            frozenLoaded_ = true;
-        }
-    });
-}
-
-void Controller::pollUsage(Instant now)
-{
-    if (!frozenLoaded_) {
-        loadFrozen();
-        return;
-    }
-    const absl::Time wall = absl::Now();
-    const std::uint64_t current = context_.counts.windowAt(wall);
-    if (!firstWindow_) {
-        firstWindow_ = current - static_cast<std::uint64_t>(context_.settings.usageCatchUp);
-    }
-    for (std::uint64_t window = *firstWindow_; window < current; ++window) {
-        if (reported_.contains(window) || wall < context_.counts.endOf(window) + context_.settings.usageGather) {
-            continue;
-        }
-        const auto [entry, fresh] = reports_.try_emplace(window);
-        WindowReport &report = entry->second;
-        if (fresh) {
-            if (const auto found = frozen_.find(window); found != frozen_.end()) {
-                report.counts = found->second;
-                report.gathered = true;
-                report.frozen = true;
-            } else {
-                gather(window);
-            }
-        }
-        if (!report.gathered && now >= report.gatherUntil) {
-            report.gathered = true;
-        }
-        if (!report.gathered || report.busy || report.retryAt > now) {
-            continue;
-        }
-        if (report.frozen) {
-            sendUsage(window);
-        } else if (report.counts.empty()) {
-            reported_.insert(window);
-        } else if (!freezing_) {
-            freeze(window);
-        }
-    }
-    while (reported_.size() > KeptFrozen * 2) {
-        reports_.erase(*reported_.begin());
-        firstWindow_ = std::max(*firstWindow_, *reported_.begin() + 1);
-        reported_.erase(reported_.begin());
-    }
-}
-
-void Controller::gather(std::uint64_t window)
-{
-    WindowReport &report = reports_[window];
-    report.counts = context_.counts.of(window);
-    report.gatherUntil = net::loopNow() + context_.settings.usageGatherTimeout + absl::Milliseconds(100);
-    const std::vector<std::string> nodes = context_.peers.reachable();
-    report.waiting = static_cast<int>(nodes.size());
-    report.gathered = nodes.empty();
-    for (const std::string &node : nodes) {
-        context_.peers.call(
-            node, "usage/counts", {{"window", window}}, context_.settings.usageGatherTimeout,
-            [this, window, node](const absl::StatusOr<Json> &reply) {
-                const auto found = reports_.find(window);
-                if (found == reports_.end() || found->second.gathered) {
-                    return;
-                }
-                WindowReport &open = found->second;
-                if (!reply.ok()) {
-                    telemetry::log(Level::Warning, "usage", "counts_missing", {{"window", window}, {"node", node}});
-                } else if (reply->contains("counts")) {
-                    for (const auto &[workspace, count] : (*reply)["counts"].items()) {
-                        open.counts[workspace] += count.is_number_unsigned() ? count.get<std::uint64_t>() : 0;
-                    }
-                }
-                open.gathered = --open.waiting == 0;
-            });
-    }
-}
-
-void Controller::freeze(std::uint64_t window)
-{
-    freezing_ = true;
-    reports_[window].busy = true;
-    auto frozen = frozen_;
-    frozen[window] = reports_[window].counts;
-    while (frozen.size() > KeptFrozen) {
-        frozen.erase(frozen.begin());
-    }
-    Json value = Json::object();
-    for (const auto &[number, counts] : frozen) {
-        value[std::to_string(number)] = counts;
-    }
-    const auto done = [this, window, frozen](const StoreReply &reply) {
-        freezing_ = false;
-        const auto found = reports_.find(window);
-        if (found != reports_.end()) {
-            found->second.busy = false;
-        }
-        if (reply.outcome == StoreOutcome::Done && !reply.changes.empty()) {
-            frozenRevision_ = reply.changes.front().object.revision;
-            frozen_ = frozen;
-            if (found != reports_.end()) {
-                found->second.frozen = true;
-            }
-            return;
-        }
-        // Another controller's counts may be fixed already, or this write may still take effect: read first.
-        reports_.clear();
-        frozenLoaded_ = false;
-    };
-    if (frozenRevision_ == 0) {
-        context_.store.create(PlanKind, FrozenName, std::move(value), done);
-    } else {
-        context_.store.replace(PlanKind, FrozenName, frozenRevision_, std::move(value), done);
-    }
-}
-
-void Controller::sendUsage(std::uint64_t window)
-{
-    const auto holder = this->holder();
-    if (!holder) {
-        return;
-    }
-    WindowReport &report = reports_[window];
-    report.busy = true;
-    context_.duties.reportUsage(window, report.counts, *holder, [this, window](DutyReply reply) {
-        telemetry::log(Level::Info, "usage", "reported", {{"window", window}, {"reply", nameOf(reply)}});
-        const auto found = reports_.find(window);
-        if (reply == DutyReply::Done) {
-            reported_.insert(window);
-        } else if (found != reports_.end()) {
-            found->second.busy = false;
-            found->second.retryAt = net::loopNow() + context_.settings.usageRetry;
-        }
-    });
-}
-
 // Retirements
 
 void Controller::onRetirement(const objects::ObjectChange &change)
--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -4,8 +4,8 @@
 
 #include "control/dutyport.h"
 #include "control/leasedriver.h"
-#include "control/requestcounts.h"
 #include "control/scaleplan.h"
+#include "control/usagereporter.h"
 #include "control/weightplan.h"
 #include "jobs/jobcontext.h"
 #include "objects/objectmirror.h"
@@ -39,10 +39,7 @@
 
 struct ControllerSettings
 {
-    absl::Duration usageGather = absl::Milliseconds(1200); ///< After a window's end, so that late answers are counted.
-    absl::Duration usageGatherTimeout = absl::Milliseconds(700);
-    absl::Duration usageRetry = absl::Milliseconds(600);
-    int usageCatchUp = 4; ///< Windows before the present one that a new controller still reports.
+    UsageReporterSettings usage;
     absl::Duration scalePeriod = absl::Milliseconds(500);
     absl::Duration targetAfter = absl::Seconds(3); ///< The first controller takes what serves then as the target.
     /// A node that gave the lease up doesn't take it again sooner: within the platform's bound of three seconds two
@@ -85,36 +82,14 @@
     bool leading() const { return token_.has_value(); }
     const std::map<std::string, std::string> &modelByReplica() const { return weights_.modelByReplica(); }
     void release();
-    /// Counts of this node for the controller of another one.
-    Json usageOf(std::uint64_t window) const;
-    /// Counts of this node, for another one to report once this process has ended.
-    Json usageToHandOver() const;
-    /// Takes the counts of a node that is about to end. False if they can't be read.
-    bool takeUsage(const Json &handedOver);
 
 private:
-    struct WindowReport
-    {
-        WindowCounts counts;
-        int waiting = 0; ///< Answers of other nodes.
-        bool gathered = false;
-        bool frozen = false;
-        bool busy = false;
-        Instant retryAt;
-        Instant gatherUntil;
-    };
-
     void pollLease();
     void startLeading();
     void stopLeading();
     void pollWeights(Instant now);
     void pollScale(Instant now);
-    void pollUsage(Instant now);
     void loadTarget();
-    void loadFrozen();
-    void gather(std::uint64_t window);
-    void freeze(std::uint64_t window);
-    void sendUsage(std::uint64_t window);
     void onRetirement(const objects::ObjectChange &change);
     std::vector<const serving::Replica *> usable(const std::string &service) const;
     ScalePlan::Counts servingNow() const;
@@ -124,6 +99,7 @@
     LeaseDriver lease_;
     WeightPlan weights_;
     ScalePlan scale_;
+    UsageReporter usage_;
     objects::ObjectMirror versions_;
     objects::ObjectMirror retirements_;
     std::optional<std::uint64_t> token_; ///< While this node leads.
@@ -135,15 +111,6 @@
     bool targetLoaded_ = false;
     bool targetLoading_ = false;
     std::set<std::string> asking_; ///< Replicas whose report is under way.
-    bool frozenLoaded_ = false;
-    bool frozenLoading_ = false;
-    Instant frozenRetryAt_; ///< Not read again sooner after a failure.
-    std::uint64_t frozenRevision_ = 0;
-    std::map<std::uint64_t, WindowCounts> frozen_; ///< The newest windows whose counts are fixed.
-    std::set<std::uint64_t> reported_;
-    std::map<std::uint64_t, WindowReport> reports_;
-    std::optional<std::uint64_t> firstWindow_;
-    bool freezing_ = false;
 };
 
 } // namespace currantlug::control
--- a/src/control/requestcounts.h
+++ b/src/control/requestcounts.h
@@ -2,15 +2,24 @@
 #ifndef CURRANTLUG_CONTROL_REQUESTCOUNTS_H
 #define CURRANTLUG_CONTROL_REQUESTCOUNTS_H
 
+#include "core/json.h"
+
 #include <absl/time/time.h>
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 
 namespace currantlug::control {
 
 using WindowCounts = std::map<std::string, std::uint64_t>; ///< By workspace.
+using CountsByWindow = std::map<std::uint64_t, WindowCounts>; ///< By number of the window.
+
+/// Counts as they are stored and passed on; nothing if a part can't be read.
+std::optional<WindowCounts> parseCounts(const Json &value);
+Json toJson(const CountsByWindow &windows);
+std::optional<CountsByWindow> parseWindows(const Json &value);
 
 /// Window k begins k times the window's length after the start of 1970.
 class RequestCounts
@@ -37,8 +46,16 @@
             windows_.erase(windows_.begin());
         }
     }
-    /// All windows that are kept, by number.
-    const std::map<std::uint64_t, WindowCounts> &all() const { return windows_; }
+    void add(const CountsByWindow &windows)
+    {
+        for (const auto &[window, counts] : windows) {
+            for (const auto &[workspace, requests] : counts) {
+                add(workspace, window, requests);
+            }
+        }
+    }
+    /// All windows that are kept.
+    const CountsByWindow &all() const { return windows_; }
     WindowCounts of(std::uint64_t window) const
     {
         const auto found = windows_.find(window);
@@ -49,7 +66,7 @@
     static constexpr std::size_t KeptWindows = 24; ///< Two minutes of five-second windows; a report is due in seconds.
 
     absl::Duration window_;
-    std::map<std::uint64_t, WindowCounts> windows_;
+    CountsByWindow windows_;
 };
 
 } // namespace currantlug::control
--- /dev/null
+++ b/src/control/usagereporter.cpp
@@ -0,0 +1,209 @@
+// Gathering, fixing and sending the counts of windows.
+#include "control/usagereporter.h"
+
+#include "telemetry/log.h"
+
+#include <absl/time/clock.h>
+
+#include <algorithm>
+
+namespace currantlug::control {
+
+using objects::StoreOutcome;
+using objects::StoreReply;
+using telemetry::Level;
+
+namespace {
+
+constexpr const char *FrozenName = "usage-frozen";
+// Windows kept in the frozen object; a controller reports at most a few behind the present one.
+constexpr std::size_t KeptFrozen = 12;
+
+} // namespace
+
+UsageReporter::UsageReporter(const RequestCounts &counts, objects::ObjectPort store, jobs::PeerPort peers,
+                             Report report, std::function<std::optional<Holder>()> holder,
+                             UsageReporterSettings settings)
+    : counts_(counts)
+    , store_(std::move(store))
+    , peers_(std::move(peers))
+    , report_(std::move(report))
+    , holder_(std::move(holder))
+    , settings_(settings)
+{
+}
+
+Json UsageReporter::answerCounts(const RequestCounts &counts, const Json &request)
+{
+    return {{"counts", counts.of(fieldOr<std::uint64_t>(request, "window", 0))}};
+}
+
+void UsageReporter::start()
+{
+    frozenLoaded_ = false;
+    reports_.clear();
+    firstWindow_.reset();
+}
+
+void UsageReporter::loadFrozen()
+{
+    if (net::loopNow() < frozenRetryAt_ || std::exchange(frozenLoading_, true)) {
+        return;
+    }
+    store_.get(PlanKind, FrozenName, [this](const StoreReply &reply) {
+        frozenLoading_ = false;
+        frozenRetryAt_ = net::loopNow() + settings_.retry;
+        if (reply.outcome == StoreOutcome::NotFound) {
+            frozenRetryAt_ = Instant();
+            frozenRevision_ = 0;
+            frozen_.clear();
+            frozenLoaded_ = true;
+        } else if (reply.outcome == StoreOutcome::Done && !reply.changes.empty()) {
+            const objects::StoredObject &object = reply.changes.front().object;
+            auto windows = parseWindows(object.value);
+            if (!windows) {
+                // Without the figures that were fixed, a window might be reported with others.
+                telemetry::log(Level::Error, "usage", "frozen_unreadable", {{"revision", object.revision}});
+                return;
+            }
+            frozenRetryAt_ = Instant();
+            frozenRevision_ = object.revision;
+            frozen_ = std::move(*windows);
+            frozenLoaded_ = true;
+        }
+    });
+}
+
+void UsageReporter::poll(Instant now)
+{
+    if (!frozenLoaded_) {
+        loadFrozen();
+        return;
+    }
+    const absl::Time wall = absl::Now();
+    const std::uint64_t current = counts_.windowAt(wall);
+    if (!firstWindow_) {
+        firstWindow_ = current - static_cast<std::uint64_t>(settings_.catchUp);
+    }
+    for (std::uint64_t window = *firstWindow_; window < current; ++window) {
+        if (reported_.contains(window) || wall < counts_.endOf(window) + settings_.gather) {
+            continue;
+        }
+        const auto [entry, fresh] = reports_.try_emplace(window);
+        WindowReport &report = entry->second;
+        if (fresh) {
+            if (const auto found = frozen_.find(window); found != frozen_.end()) {
+                report.counts = found->second;
+                report.gathered = true;
+                report.frozen = true;
+            } else {
+                gather(window);
+            }
+        }
+        if (!report.gathered && now >= report.gatherUntil) {
+            report.gathered = true;
+        }
+        if (!report.gathered || report.busy || report.retryAt > now) {
+            continue;
+        }
+        if (report.frozen) {
+            send(window);
+        } else if (report.counts.empty()) {
+            reported_.insert(window);
+        } else if (!freezing_) {
+            freeze(window);
+        }
+    }
+    while (reported_.size() > KeptFrozen * 2) {
+        reports_.erase(*reported_.begin());
+        firstWindow_ = std::max(*firstWindow_, *reported_.begin() + 1);
+        reported_.erase(reported_.begin());
+    }
+}
+
+void UsageReporter::gather(std::uint64_t window)
+{
+    WindowReport &report = reports_[window];
+    report.counts = counts_.of(window);
+    report.gatherUntil = net::loopNow() + settings_.gatherTimeout + absl::Milliseconds(100);
+    const std::vector<std::string> nodes = peers_.reachable();
+    report.waiting = static_cast<int>(nodes.size());
+    report.gathered = nodes.empty();
+    for (const std::string &node : nodes) {
+        peers_.call(
+            node, CountsMethod, {{"window", window}}, settings_.gatherTimeout,
+            [this, window, node](const absl::StatusOr<Json> &reply) {
+                const auto found = reports_.find(window);
+                if (found == reports_.end() || found->second.gathered) {
+                    return;
+                }
+                WindowReport &open = found->second;
+                const auto counts = reply.ok() ? parseCounts(fieldOrNull(*reply, "counts")) : std::nullopt;
+                if (!counts) {
+                    telemetry::log(Level::Warning, "usage", "counts_missing", {{"window", window}, {"node", node}});
+                } else {
+                    for (const auto &[workspace, count] : *counts) {
+                        open.counts[workspace] += count;
+                    }
+                }
+                open.gathered = --open.waiting == 0;
+            });
+    }
+}
+
+void UsageReporter::freeze(std::uint64_t window)
+{
+    freezing_ = true;
+    reports_[window].busy = true;
+    auto frozen = frozen_;
+    frozen[window] = reports_[window].counts;
+    while (frozen.size() > KeptFrozen) {
+        frozen.erase(frozen.begin());
+    }
+    Json value = toJson(frozen);
+    const auto done = [this, window, frozen](const StoreReply &reply) {
+        freezing_ = false;
+        const auto found = reports_.find(window);
+        if (found != reports_.end()) {
+            found->second.busy = false;
+        }
+        if (reply.outcome == StoreOutcome::Done && !reply.changes.empty()) {
+            frozenRevision_ = reply.changes.front().object.revision;
+            frozen_ = frozen;
+            if (found != reports_.end()) {
+                found->second.frozen = true;
+            }
+            return;
+        }
+        // Another controller's counts may be fixed already, or this write may still take effect: read first.
+        reports_.clear();
+        frozenLoaded_ = false;
+    };
+    if (frozenRevision_ == 0) {
+        store_.create(PlanKind, FrozenName, std::move(value), done);
+    } else {
+        store_.replace(PlanKind, FrozenName, frozenRevision_, std::move(value), done);
+    }
+}
+
+void UsageReporter::send(std::uint64_t window)
+{
+    const auto holder = holder_();
+    if (!holder) {
+        return;
+    }
+    WindowReport &report = reports_[window];
+    report.busy = true;
+    report_(window, report.counts, *holder, [this, window](DutyReply reply) {
+        telemetry::log(Level::Info, "usage", "reported", {{"window", window}, {"reply", nameOf(reply)}});
+        const auto found = reports_.find(window);
+        if (reply == DutyReply::Done) {
+            reported_.insert(window);
+        } else if (found != reports_.end()) {
+            found->second.busy = false;
+            found->second.retryAt = net::loopNow() + settings_.retry;
+        }
+    });
+}
+
+} // namespace currantlug::control
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -186,7 +186,7 @@
 
 void Node::handOver(std::function<void()> done)
 {
-    const Json windows = controller_->usageToHandOver();
+    const Json windows = control::toJson(counts_.all());
     const std::vector<std::string> live = mesh_.live();
     if (windows.empty() || live.empty()) {
         done();
@@ -374,15 +374,16 @@
 
 bool Node::peerCall(const std::string &method, const Json &body, std::function<void(Json)> reply)
 {
-    if (method == "usage/counts") {
-        reply(controller_->usageOf(fieldOr<std::uint64_t>(body, "window", 0)));
+    if (method == control::UsageReporter::CountsMethod) {
+        reply(control::UsageReporter::answerCounts(counts_, body));
         return true;
     }
     if (method == HandOverMethod) {
-        const bool taken = controller_->takeUsage(body);
-        telemetry::log(taken ? Level::Info : Level::Warning, "usage", taken ? "taken_over" : "unreadable",
+        const auto windows = control::parseWindows(body);
+        telemetry::log(windows ? Level::Info : Level::Warning, "usage", windows ? "taken_over" : "unreadable",
                        {{"windows", body.size()}});
-        reply({{"taken", taken}});
+        counts_.add(windows.value_or(control::CountsByWindow{}));
+        reply({{"taken", windows.has_value()}});
         return true;
     }
     if (method == "node/snapshot") {
--- a/tests/control/controllertest.cpp
+++ b/tests/control/controllertest.cpp
@@ -46,8 +46,7 @@
             };
             jobs::PeerPort peers{[this](const std::string &node, const std::string &, const Json &body, absl::Duration,
                                         const jobs::PeerPort::Callback &done) {
-                                     const Json reply =
-                                         members[node].controller->usageOf(body["window"].get<std::uint64_t>());
+                                     const Json reply = UsageReporter::answerCounts(*members[node].counts, body);
                                      net::runAfter(loop, absl::Milliseconds(1), [done, reply] { done(reply); });
                                  },
                                  [name] { return std::vector<std::string>{*name == 'a' ? "b" : "a"}; },
@@ -62,9 +61,9 @@
             lease.sendBound = absl::Milliseconds(150);
             lease.tcpUserTimeout = absl::ZeroDuration();
             ControllerSettings settings;
-            settings.usageGather = absl::Milliseconds(50);
-            settings.usageRetry = absl::Milliseconds(50);
-            settings.usageCatchUp = 20;
+            settings.usage.gather = absl::Milliseconds(50);
+            settings.usage.retry = absl::Milliseconds(50);
+            settings.usage.catchUp = 20;
             settings.candidateStep = absl::ZeroDuration();
             settings.returnAfter = absl::Milliseconds(3600);
             member.controller = std::make_unique<Controller>(
@@ -266,13 +265,15 @@
     ended.add("w", absl::Now());
     const std::uint64_t window = ended.windowAt(absl::Now());
     const Json handedOver{{std::to_string(window), {{"w", std::uint64_t{2}}}}};
-    CHECK(pair.members[second].controller->takeUsage(handedOver));
+    const auto taken = parseWindows(handedOver);
+    REQUIRE(taken);
+    pair.members[second].counts->add(*taken);
     REQUIRE(runUntil(pair.loop, [&pair] { return !pair.reports.empty(); }));
     CHECK(pair.reports.front().window == window);
     CHECK(pair.reports.front().counts == std::map<std::string, std::uint64_t>{{"w", 2}});
-    CHECK(pair.members[second].controller->usageToHandOver() == handedOver);
-    CHECK_FALSE(pair.members[second].controller->takeUsage({{"x", 1}}));
-    CHECK_FALSE(pair.members[second].controller->takeUsage({{std::to_string(window), {{"w", "two"}}}}));
+    CHECK(toJson(pair.members[second].counts->all()) == handedOver);
+    CHECK_FALSE(parseWindows({{"x", 1}}));
+    CHECK_FALSE(parseWindows({{std::to_string(window), {{"w", "two"}}}}));
 }
 
 // Guards against reports by unknown figures, and against a store that is asked without a pause for what can't be read.
