--- a/src/node/nodemetrics.cpp
+++ b/src/node/nodemetrics.cpp
@@ -14,13 +14,26 @@
     Vanishing, ///< No longer registered, and kept for a moment since the registry was away.
 };
 
-constexpr std::pair<ReplicaCondition, std::string_view> ReplicaConditions[] = {
-    {ReplicaCondition::Ready, "ready"},
-    {ReplicaCondition::Draining, "draining"},
-    {ReplicaCondition::Avoided, "avoided"},
-    {ReplicaCondition::Vanishing, "vanishing"},
+} // namespace
+
+} // namespace currantlug::node
+
+template<>
+struct currantlug::EnumNames<currantlug::node::ReplicaCondition>
+{
+    using Condition = currantlug::node::ReplicaCondition;
+    static constexpr std::array<std::pair<Condition, std::string_view>, 4> Table{{
+        {Condition::Ready, "ready"},
+        {Condition::Draining, "draining"},
+        {Condition::Avoided, "avoided"},
+        {Condition::Vanishing, "vanishing"},
+    }};
 };
 
+namespace currantlug::node {
+
+namespace {
+
 ReplicaCondition conditionOf(const serving::Replica &replica, Instant now)
 {
     if (replica.gone != Instant(absl::InfiniteDuration())) {
@@ -68,19 +81,17 @@
 {
     std::map<std::pair<std::string, ReplicaCondition>, int> counts;
     for (const auto &[id, replica] : replicas.all()) {
-        for (const auto &[condition, name] : ReplicaConditions) {
-            counts[{replica.entry.service, condition}] += conditionOf(replica, now) == condition ? 1 : 0;
+        // Conditions that no replica is in are zero, not missing.
+        for (const auto &[condition, name] : EnumNames<ReplicaCondition>::Table) {
+            counts.try_emplace({replica.entry.service, condition}, 0);
         }
+        ++counts[{replica.entry.service, conditionOf(replica, now)}];
     }
-    for (const auto &[condition, name] : ReplicaConditions) {
-        for (const auto &[key, count] : counts) {
-            if (key.second == condition) {
-                registry_
-                    .gauge("currantlug_replicas", "Replicas by service and condition, as this node sees them.",
-                           {{"service", key.first}, {"condition", std::string(name)}})
-                    .set(count);
-            }
-        }
+    for (const auto &[key, count] : counts) {
+        registry_
+            .gauge("currantlug_replicas", "Replicas by service and condition, as this node sees them.",
+                   {{"service", key.first}, {"condition", std::string(nameOf(key.second))}})
+            .set(count);
     }
 }
 
--- a/src/telemetry/log.cpp
+++ b/src/telemetry/log.cpp
@@ -26,6 +26,13 @@
     return instance;
 }
 
+/// True while an observer is set, so that lines below the level cost no lock without one.
+std::atomic<bool> &isObserved()
+{
+    static std::atomic<bool> observed{false};
+    return observed;
+}
+
 std::atomic<Level> &minimumLevel()
 {
     static std::atomic<Level> level{Level::Info};
@@ -116,6 +123,7 @@
 {
     const std::lock_guard lock(output().mutex);
     output().observer = std::move(observer);
+    isObserved().store(static_cast<bool>(output().observer), std::memory_order_relaxed);
 }
 
 std::string formatLine(Level level, std::string_view subsystem, std::string_view event, const Fields &fields)
@@ -136,7 +144,7 @@
 
 void log(Level level, std::string_view subsystem, std::string_view event, const Fields &fields)
 {
-    {
+    if (isObserved().load(std::memory_order_relaxed)) {
         const std::lock_guard lock(output().mutex);
         if (output().observer) {
             output().observer(subsystem, event);
