--- a/tests/node/nodetest.cpp
+++ b/tests/node/nodetest.cpp
@@ -1,5 +1,6 @@
 // What a node answers while its configuration may be out of date, and what its metrics say.
 #include "node/node.h"
+#include "node/gracefulstop.h"
 
 #include "fakes/memoryobjects.h"
 #include "fakes/runloop.h"
@@ -144,6 +145,45 @@
     CHECK_FALSE(has("known-key"));
 }
 
+// Guards against a planned stop that cuts a request, and against one that waits for it until the process is killed.
+TEST_CASE("a stopping node waits for open requests, but not for ever")
+{
+    const bool answered = GENERATE(true, false);
+    CAPTURE(answered);
+    LoneNode lone;
+    REQUIRE(runUntil(lone.loop, [&lone] { return lone.node.ready(); }));
+    net::ServerCallPtr open;
+    net::HttpServer front(lone.loop, [&open](const net::ServerCallPtr &call) { open = call; });
+    REQUIRE(front.listen(net::Endpoint(boost::asio::ip::address_v4::loopback(), 0)).ok());
+    net::HttpClient client(lone.loop);
+    net::HttpRequest request;
+    request.method = "GET";
+    request.target = "/";
+    request.headers.add("Host", "shop");
+    int status = 0;
+    net::ClientHandlers handlers;
+    handlers.onDone = [&status](const absl::StatusOr<net::HttpResponse> &response) {
+        status = response.ok() ? response->status : -1;
+    };
+    client.call("127.0.0.1:" + std::to_string(front.port()), request, {}, std::move(handlers));
+    REQUIRE(runUntil(lone.loop, [&open] { return open != nullptr; }));
+
+    constexpr absl::Duration Grace = absl::Seconds(2);
+    node::GracefulStop stop(lone.loop, lone.node, front, Grace);
+    bool done = false;
+    const Instant begun = net::loopNow();
+    stop.begin([&done] { done = true; });
+    CHECK_FALSE(lone.node.ready());
+    runFor(lone.loop, std::chrono::milliseconds(1000));
+    CHECK_FALSE(done);
+    if (answered) {
+        open->respond(200, {}, "late");
+    }
+    REQUIRE(runUntil(lone.loop, [&done] { return done; }));
+    CHECK(net::loopNow() - begun < Grace);
+    CHECK(status == (answered ? 200 : 0));
+}
+
 // Guards against a denial before any configuration is known.
 TEST_CASE("a node without a configuration asks to come back")
 {
