Score the texts of items by reward calls, and keep the texts of a stopping node

Change: - platform decodes the scorer into RewardSpec; a scorer that can't be read is a 400 for the whole job. - A complete text waits in the new state Scoring. RewardCaller sends its reward call through the route in force, repeats it after a refusal, a loss or an error, hedges it after the target latency, and counts only errors of replicas that ran it. It uses two thirds of the slots of a replica and a limit per service that adapts to refusals and reported waiting requests, since nodes share no counter. - The JSON forms of items, texts and results carry the reward call, whether a text is complete, and the score. Forms of earlier builds still read.

Found by the new tests: at a planned stop the node that takes a job over never got the stopping node's texts. It asked only live peers, which excludes stopping ones, and sent the items again before the answers came.

--- a/src/jobs/itemtracker.cpp
+++ b/src/jobs/itemtracker.cpp
@@ -43,11 +43,26 @@
     return ready;
 }
 
+std::vector<std::size_t> ItemTracker::rewardOrder(Instant now) const
+{
+    std::vector<std::size_t> ready;
+    for (std::size_t index = 0; index < items_.size(); ++index) {
+        const Item &item = items_[index];
+        if (item.state == ItemState::Scoring && item.rewardCall == 0 && item.notBefore <= now) {
+            ready.push_back(index);
+        }
+    }
+    std::stable_sort(ready.begin(), ready.end(), [this](std::size_t a, std::size_t b) {
+        return items_[a].textCompletedAt < items_[b].textCompletedAt;
+    });
+    return ready;
+}
+
 bool ItemTracker::reuseText(std::size_t index, const ItemText &text, std::uint64_t minVersion, bool singleVersion)
 {
     Item &item = items_[index];
-    if (item.state != ItemState::Waiting || text.events.size() <= item.text.events.size()
-        || !versionsAllowed(text.versions, minVersion, singleVersion)) {
+    const bool better = text.complete || text.events.size() > item.text.events.size();
+    if (item.state != ItemState::Waiting || !better || !versionsAllowed(text.versions, minVersion, singleVersion)) {
         return false;
     }
     item.text = text;
--- a/src/jobs/itemtracker.h
+++ b/src/jobs/itemtracker.h
@@ -23,6 +23,7 @@
 enum class ItemState {
     Waiting,
     Running,
+    Scoring, ///< Its text is complete and the score of its reward call is missing.
     Finished, ///< Its result is known and not yet stored.
     Stored, ///< Its result is stored and can be read by clients.
 };
@@ -33,9 +34,10 @@
 struct currantlug::EnumNames<currantlug::jobs::ItemState>
 {
     using ItemState = currantlug::jobs::ItemState;
-    static constexpr std::array<std::pair<ItemState, std::string_view>, 4> Table{{
+    static constexpr std::array<std::pair<ItemState, std::string_view>, 5> Table{{
         {ItemState::Waiting, "waiting"},
         {ItemState::Running, "running"},
+        {ItemState::Scoring, "scoring"},
         {ItemState::Finished, "finished"},
         {ItemState::Stored, "listed"},
     }};
@@ -53,11 +55,16 @@
     Instant lastEventAt; ///< Running: time of the last event, or of the start of the attempt.
     Instant startedAt; ///< Running: start of the attempt.
     bool headSeen = false; ///< Running: the replica has sent its response head.
-    Instant notBefore; ///< Waiting: the item is not sent before this time.
+    Instant notBefore; ///< Waiting or Scoring: the item or its reward call is not sent before this time.
     int failures = 0; ///< Responses that count as failed attempts.
     int moves = 0; ///< Attempts that were cancelled to move the item off a slow replica.
     std::set<std::string> excludedReplicas; ///< Replicas on which the item failed; cleared if no other is free.
     Instant finishedAt;
+    Instant textCompletedAt; ///< Scoring: time at which the text was complete here.
+    std::uint64_t rewardCall = 0; ///< Scoring: id of the open reward call; 0 if there is none.
+    int rewardFailures = 0; ///< Responses to the reward call that count as failed attempts.
+    int rewardRetries = 0; ///< Reward calls that were refused or lost since the text was complete.
+    std::string score;
 };
 
 /// True if a job with these requirements may use text that was generated with the given weight versions.
@@ -78,8 +85,11 @@
     /// done.
     std::vector<std::size_t> sendOrder(Instant now) const;
 
-    /// Takes over text of an earlier job if the item waits, the text is longer than the item's own, and its weight
-    /// versions are allowed in this job. Returns true if the text was taken.
+    /// Returns the items whose reward call may be sent now: the texts that were complete first come first.
+    std::vector<std::size_t> rewardOrder(Instant now) const;
+
+    /// Takes over text of an earlier job if the item waits, the text is complete or longer than the item's own, and its
+    /// weight versions are allowed in this job. Returns true if the text was taken.
     bool reuseText(std::size_t index, const ItemText &text, std::uint64_t minVersion, bool singleVersion);
 
     /// True if all items of the group are finished or stored.
--- a/src/jobs/job.cpp
+++ b/src/jobs/job.cpp
@@ -78,18 +78,43 @@
     return record;
 }
 
+namespace {
+
+Json rewardToJson(const RewardSpec &reward)
+{
+    return {{"id", reward.id}, {"host", reward.host}, {"path", reward.path}, {"body", absl::Base64Escape(reward.body)}};
+}
+
+std::optional<RewardSpec> parseReward(const Json &value)
+{
+    RewardSpec reward;
+    reward.id = fieldOr<std::string>(value, "id", "");
+    reward.host = fieldOr<std::string>(value, "host", "");
+    reward.path = fieldOr<std::string>(value, "path", "");
+    if (reward.id.empty() || !absl::Base64Unescape(fieldOr<std::string>(value, "body", ""), &reward.body)) {
+        return std::nullopt;
+    }
+    return reward;
+}
+
+} // namespace
+
 Json toJson(const ItemSpec &item)
 {
     Json headers = Json::array();
     for (const net::Header &field : item.headers.fields()) {
         headers.push_back({field.name, field.value});
     }
-    return {{"id", item.id},
-            {"path", item.path},
-            {"headers", std::move(headers)},
-            {"body", absl::Base64Escape(item.body)},
-            {"group", item.group},
-            {"hint", item.lengthHint}};
+    Json value{{"id", item.id},
+               {"path", item.path},
+               {"headers", std::move(headers)},
+               {"body", absl::Base64Escape(item.body)},
+               {"group", item.group},
+               {"hint", item.lengthHint}};
+    if (item.reward) {
+        value["reward"] = rewardToJson(*item.reward);
+    }
+    return value;
 }
 
 std::optional<ItemSpec> parseItemSpec(const Json &value)
@@ -108,12 +133,23 @@
         }
         item.headers.add(field[0].get<std::string>(), field[1].get<std::string>());
     }
+    if (value.contains("reward")) {
+        item.reward = parseReward(value["reward"]);
+        if (!item.reward) {
+            return std::nullopt;
+        }
+    }
     return item;
 }
 
 Json toJson(const ItemResult &result)
 {
-    return {{"id", result.id}, {"state", nameOf(result.state)}, {"text", result.text}, {"versions", result.versions}};
+    Json value{
+        {"id", result.id}, {"state", nameOf(result.state)}, {"text", result.text}, {"versions", result.versions}};
+    if (!result.score.empty()) {
+        value["score"] = result.score;
+    }
+    return value;
 }
 
 std::optional<ItemResult> parseItemResult(const Json &value)
@@ -127,12 +163,17 @@
     result.state = *state;
     result.text = fieldOr<std::string>(value, "text", "");
     result.versions = parseUnsignedArray(fieldOrNull(value, "versions"));
+    result.score = fieldOr<std::string>(value, "score", "");
     return result;
 }
 
 Json toJson(const ItemText &text)
 {
-    return {{"events", text.events}, {"last", text.lastEventId}, {"versions", text.versions}};
+    Json value{{"events", text.events}, {"last", text.lastEventId}, {"versions", text.versions}};
+    if (text.complete) {
+        value["complete"] = true;
+    }
+    return value;
 }
 
 std::optional<ItemText> parseItemText(const Json &value)
@@ -140,6 +181,7 @@
     ItemText text;
     text.lastEventId = fieldOr<std::uint64_t>(value, "last", 0);
     text.versions = parseUnsignedArray(fieldOrNull(value, "versions"));
+    text.complete = fieldOr<bool>(value, "complete", false);
     for (const Json &event : fieldOrNull(value, "events")) {
         if (!event.is_string()) {
             return std::nullopt;
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -32,6 +32,39 @@
 
 namespace currantlug::jobs {
 
+/// A request that scores the text of an item. It is sent once the text is complete and may be repeated. It carries
+/// neither a key nor a workspace.
+struct RewardSpec
+{
+    std::string id;
+    std::string host; ///< With `path`, selects the route.
+    std::string path;
+    std::string body;
+};
+
+enum class RewardOutcome {
+    Scored, ///< A replica answered with a score.
+    Failed, ///< A replica ran the request and answered with an error.
+    NotRun, ///< Every replica asked refused the request, or no byte was sent.
+    Lost, ///< No usable answer came; the request may have run.
+};
+
+} // namespace currantlug::jobs
+
+template<>
+struct currantlug::EnumNames<currantlug::jobs::RewardOutcome>
+{
+    using RewardOutcome = currantlug::jobs::RewardOutcome;
+    static constexpr std::array<std::pair<RewardOutcome, std::string_view>, 4> Table{{
+        {RewardOutcome::Scored, "scored"},
+        {RewardOutcome::Failed, "failed"},
+        {RewardOutcome::NotRun, "not_run"},
+        {RewardOutcome::Lost, "lost"},
+    }};
+};
+
+namespace currantlug::jobs {
+
 struct ItemSpec
 {
     std::string id; ///< Chosen by the trainer; a later job may use the same id.
@@ -40,6 +73,7 @@
     std::string body;
     std::string group; ///< Items of a group share a prompt.
     double lengthHint = 0; ///< Estimated number of output tokens; 0 if the trainer sent none.
+    std::optional<RewardSpec> reward; ///< If set, the item isn't completed without a score.
 };
 
 /// A job as the trainer submitted it.
@@ -80,6 +114,7 @@
     std::vector<std::string> events; ///< Data of the events, in order.
     std::uint64_t lastEventId = 0; ///< Id of the last event.
     std::vector<std::uint64_t> versions; ///< Weight versions that generated it, in order of first use.
+    bool complete = false; ///< The replica has sent the last event.
 
     bool empty() const { return events.empty(); }
     void addVersion(std::uint64_t version);
@@ -93,6 +128,7 @@
     ResultState state = ResultState::Completed;
     std::string text;
     std::vector<std::uint64_t> versions;
+    std::string score; ///< Signature of the response to the reward call; empty for items without one.
 };
 
 /// Results of a job from one position of its result log on.
--- a/src/jobs/jobcontext.h
+++ b/src/jobs/jobcontext.h
@@ -2,6 +2,7 @@
 #ifndef CURRANTLUG_JOBS_JOBCONTEXT_H
 #define CURRANTLUG_JOBS_JOBCONTEXT_H
 
+#include "jobs/job.h"
 #include "net/eventloop.h"
 #include "objects/objectport.h"
 #include "serving/gatewayconfig.h"
@@ -62,6 +63,10 @@
     /// ended them or taken them over. The results that it stores must be readable here within a second.
     absl::Duration recheckPeriod = absl::Milliseconds(700);
     absl::Duration endTimeout = absl::Seconds(3);
+    /// Deadline of one reward call, several times the work of a slow one. Past it the call is repeated elsewhere.
+    absl::Duration rewardTimeout = absl::Seconds(2);
+    /// A reward call whose route is missing is looked up again after this delay: a later configuration may have it.
+    absl::Duration missingRouteDelay = absl::Milliseconds(500);
 };
 
 struct JobContext
@@ -76,6 +81,8 @@
     std::string node;
     std::string incarnation;
     JobSettings settings;
+    /// Called at the end of each reward call with the time since its first attempt; may be empty.
+    std::function<void(RewardOutcome, absl::Duration)> rewardEnded = {};
 };
 
 } // namespace currantlug::jobs
--- a/src/jobs/jobrunner.cpp
+++ b/src/jobs/jobrunner.cpp
@@ -25,8 +25,10 @@
 
 } // namespace
 
-JobRunner::JobRunner(JobContext &context, JobSpec spec, std::int64_t submittedMs, ResultLog log, Hooks hooks)
+JobRunner::JobRunner(JobContext &context, RewardCaller &rewards, JobSpec spec, std::int64_t submittedMs, ResultLog log,
+                     Hooks hooks)
     : context_(context)
+    , rewards_(rewards)
     , spec_(std::move(spec))
     , tracker_(spec_)
     , log_(std::move(log))
@@ -58,13 +60,24 @@
     return singleVersion() && !item.text.empty() && item.text.versions.front() != version;
 }
 
+void JobRunner::holdItems(absl::Duration duration)
+{
+    heldUntil_ = net::loopNow() + duration;
+}
+
+void JobRunner::releaseItems()
+{
+    heldUntil_ = Instant();
+    sendWaitingItems();
+}
+
 void JobRunner::sendWaitingItems()
 {
     const serving::Route *route = this->route();
-    if (stopped_ || route == nullptr) {
+    const Instant now = net::loopNow();
+    if (stopped_ || route == nullptr || now < heldUntil_) {
         return;
     }
-    const Instant now = net::loopNow();
     for (const std::size_t index : tracker_.sendOrder(now)) {
         Item &item = tracker_.items()[index];
         serving::ReplicaTable::ItemRequirements need;
@@ -274,7 +287,7 @@
             context_.replicas.recordSuccess(*replica);
         }
         releaseReplica(index);
-        finishItem(index, ResultState::Completed);
+        onTextComplete(index);
     } else if (head.status == 422) {
         releaseReplica(index);
         finishItem(index, ResultState::Abandoned);
@@ -300,7 +313,10 @@
     if (state == ResultState::Abandoned) {
         item.text = {};
         telemetry::log(Level::Warning, "item", "abandoned",
-                       {telemetry::requestId(item.spec.id), {"job", spec_.id}, {"failures", item.failures}});
+                       {telemetry::requestId(item.spec.id),
+                        {"job", spec_.id},
+                        {"failures", item.failures},
+                        {"reward_failures", item.rewardFailures}});
     }
     flushIfDue();
 }
@@ -310,11 +326,17 @@
     const auto index = tracker_.find(itemId);
     if (index && tracker_.reuseText(*index, text, spec_.minVersion, singleVersion())) {
         telemetry::log(Level::Info, "item", "text_reused",
-                       {telemetry::requestId(itemId), {"job", spec_.id}, {"events", text.events.size()}});
+                       {telemetry::requestId(itemId),
+                        {"job", spec_.id},
+                        {"events", text.events.size()},
+                        {"complete", text.complete}});
+        if (text.complete) {
+            onTextComplete(*index);
+        }
     }
 }
 
-void JobRunner::reuseResult(const ItemResult &result)
+void JobRunner::reuseResult(const ItemResult &result, std::string_view rewardId)
 {
     const auto index = tracker_.find(result.id);
     if (!index || result.state != ResultState::Completed
@@ -325,8 +347,15 @@
     Item &item = tracker_.items()[*index];
     item.text.events = {result.text};
     item.text.versions = result.versions;
-    telemetry::log(Level::Info, "item", "result_reused", {telemetry::requestId(result.id), {"job", spec_.id}});
-    finishItem(*index, ResultState::Completed);
+    const bool scored = item.spec.reward && item.spec.reward->id == rewardId && !result.score.empty();
+    telemetry::log(Level::Info, "item", "result_reused",
+                   {telemetry::requestId(result.id), {"job", spec_.id}, {"scored", scored}});
+    if (scored) {
+        item.score = result.score;
+        finishItem(*index, ResultState::Completed);
+    } else {
+        onTextComplete(*index);
+    }
 }
 
 void JobRunner::tick()
@@ -336,14 +365,16 @@
     }
     const Instant now = net::loopNow();
     const serving::Route *route = this->route();
-    const bool expired =
-        route != nullptr && now - acceptedAt_ + ageAtAccept_ > route->queueTtl + context_.settings.ttlMargin;
+    const bool expired = route != nullptr && timeLeft(*route, now) < absl::ZeroDuration();
     for (std::size_t index = 0; index < tracker_.items().size(); ++index) {
         Item &item = tracker_.items()[index];
-        if (expired && (item.state == ItemState::Waiting || item.state == ItemState::Running)) {
+        const bool open =
+            item.state == ItemState::Waiting || item.state == ItemState::Running || item.state == ItemState::Scoring;
+        if (expired && open) {
             if (item.state == ItemState::Running) {
                 requeue(index, "expired", absl::ZeroDuration());
             }
+            cancelRewardCall(item);
             finishItem(index, ResultState::Abandoned);
             continue;
         }
@@ -384,6 +415,7 @@
     }
     flushIfDue();
     sendWaitingItems();
+    sendRewardCalls();
 }
 
 void JobRunner::stop(std::string_view reason)
@@ -396,6 +428,7 @@
         {{"job", spec_.id}, {"reason", reason}, {"listed", log_.size()}, {"running", callsByAttempt_.size()}});
     for (std::size_t index = 0; index < tracker_.items().size(); ++index) {
         Item &item = tracker_.items()[index];
+        cancelRewardCall(item);
         if (item.state == ItemState::Running) {
             if (const auto call = callsByAttempt_.find(item.attempt); call != callsByAttempt_.end()) {
                 context_.replicaPort.cancel(call->second);
--- a/src/jobs/jobrunner.h
+++ b/src/jobs/jobrunner.h
@@ -1,13 +1,15 @@
 // Runs the items of one job that this node owns, and stores their results. JobService creates the runners.
 //
-// A runner sends items to replicas and collects their streamed events (jobrunner.cpp), and stores finished results in
-// segments (jobstoring.cpp). It detects there that another node has taken over the job.
+// A runner sends items to replicas and collects their streamed events (jobrunner.cpp), has complete texts scored
+// (jobscoring.cpp), and stores finished results in segments (jobstoring.cpp). It detects there that another node has
+// taken over the job.
 #ifndef CURRANTLUG_JOBS_JOBRUNNER_H
 #define CURRANTLUG_JOBS_JOBRUNNER_H
 
 #include "jobs/itemtracker.h"
 #include "jobs/jobcontext.h"
 #include "jobs/resultlog.h"
+#include "jobs/rewardcaller.h"
 
 #include <functional>
 #include <memory>
@@ -25,7 +27,8 @@
         /// Another node has stored a segment of this job. Nothing is stored here until confirmOwnership().
         std::function<void()> foreignSegmentFound;
     };
-    JobRunner(JobContext &context, JobSpec spec, std::int64_t submittedMs, ResultLog log, Hooks hooks);
+    JobRunner(JobContext &context, RewardCaller &rewards, JobSpec spec, std::int64_t submittedMs, ResultLog log,
+              Hooks hooks);
 
     const JobSpec &spec() const { return spec_; }
     const ResultLog &log() const { return log_; }
@@ -35,8 +38,13 @@
     /// True while this runner still has items to run or results to store.
     bool isOpen() const { return !stopped_ && !isComplete(); }
 
+    /// Sends no item before releaseItems() is called or this time has passed.
+    void holdItems(absl::Duration duration);
+    void releaseItems();
     /// Sends waiting items while replicas have free slots.
     void sendWaitingItems();
+    /// Sends the reward calls of complete texts while their services have room.
+    void sendRewardCalls();
     /// Checks time limits and slow replicas. Must be called several times a second.
     void tick();
     /// Cancels all attempts for good. Text that was generated so far is kept.
@@ -47,8 +55,9 @@
     /// Resumes storing: this node was found to still own the job.
     void confirmOwnership();
     /// Takes over text or a whole result of an item with the same id from another job, if its weight versions allow it.
+    /// A score is taken only if it belongs to the item's reward call.
     void reuseText(const std::string &itemId, const ItemText &text);
-    void reuseResult(const ItemResult &result);
+    void reuseResult(const ItemResult &result, std::string_view rewardId);
 
 private:
     void startAttempt(std::size_t index, serving::Replica &replica);
@@ -59,6 +68,11 @@
     void requeue(std::size_t index, std::string_view reason, absl::Duration delay);
     void releaseReplica(std::size_t index);
     void updateEventGap(Item &item, Instant now);
+    void onTextComplete(std::size_t index);
+    void onRewardReply(std::size_t index, int maxAttempts, const RewardReply &reply);
+    void cancelRewardCall(Item &item);
+    /// Time until the items of the job may be abandoned; negative once they may.
+    absl::Duration timeLeft(const serving::Route &route, Instant now) const;
     void finishItem(std::size_t index, ResultState state);
     void flushIfDue();
     void flush();
@@ -73,6 +87,7 @@
     std::string segmentKind() const;
 
     JobContext &context_;
+    RewardCaller &rewards_;
     JobSpec spec_;
     ItemTracker tracker_;
     ResultLog log_;
@@ -85,6 +100,7 @@
     std::map<std::string, std::string> groupReplica_; ///< Replica to which a group's prompt was last sent.
     std::optional<Segment> pendingSegment_; ///< Being stored; unchanged until the outcome of the write is known.
     Instant lastFlushAt_;
+    Instant heldUntil_; ///< No item is sent before this time.
     bool stopped_ = false;
     bool fencePending_ = false;
     bool ownershipUncertain_ = false; ///< Set when another node's segment is found, until confirmOwnership().
--- a/src/jobs/jobservice.cpp
+++ b/src/jobs/jobservice.cpp
@@ -42,6 +42,7 @@
 
 JobService::JobService(JobContext context)
     : context_(std::move(context))
+    , rewards_(context_)
 {
 }
 
@@ -111,13 +112,16 @@
     submissions_[record.id] = submission;
     const Json ids = itemIds(submission->spec);
     submission->texts.push_back(textsFor(ids));
-    requestTexts(ids, [this, submission](const Json &texts) {
-        if (submissions_.contains(submission->record.id)) {
-            submission->texts.push_back(texts);
-        } else {
-            applyTexts(submission->record.id, texts);
-        }
-    });
+    requestTexts(
+        ids,
+        [this, submission](const Json &texts) {
+            if (submissions_.contains(submission->record.id)) {
+                submission->texts.push_back(texts);
+            } else {
+                applyTexts(submission->record.id, texts);
+            }
+        },
+        [] {});
     writePart(submission, 0);
 }
 
@@ -232,7 +236,7 @@
     owned->record = record;
     owned->revision = revision;
     owned->expiresAt = expiryTime(record.submittedMs);
-    owned->runner = std::make_shared<JobRunner>(context_, std::move(spec), record.submittedMs, std::move(log),
+    owned->runner = std::make_shared<JobRunner>(context_, rewards_, std::move(spec), record.submittedMs, std::move(log),
                                                 JobRunner::Hooks{[this, id = record.id] { servePendingReads(id); },
                                                                  [this, id = record.id] { checkOwnership(id); }});
     loseOwnership(record.id);
@@ -298,14 +302,25 @@
     return ids;
 }
 
-void JobService::requestTexts(const Json &ids, const std::function<void(const Json &)> &onTexts)
+void JobService::requestTexts(const Json &ids, const std::function<void(const Json &)> &onTexts,
+                              const std::function<void()> &onAll)
 {
-    for (const std::string &node : context_.peers.live()) {
+    // A node that is stopping has the texts of the jobs that it released.
+    const std::vector<std::string> nodes = context_.peers.reachable();
+    if (nodes.empty()) {
+        onAll();
+        return;
+    }
+    const auto unanswered = std::make_shared<std::size_t>(nodes.size());
+    for (const std::string &node : nodes) {
         context_.peers.call(node, TextsMethod, {{"ids", ids}}, context_.settings.textTimeout,
-                            [onTexts](const absl::StatusOr<Json> &texts) {
+                            [onTexts, onAll, unanswered](const absl::StatusOr<Json> &texts) {
                                 if (texts.ok() && !texts->empty()) {
                                     onTexts(*texts);
                                 }
+                                if (--*unanswered == 0) {
+                                    onAll();
+                                }
                             });
     }
 }
@@ -335,15 +350,17 @@
             continue;
         }
         const Item &item = runner.tracker().items()[*index];
+        const std::string rewardId = item.spec.reward ? item.spec.reward->id : std::string();
         if (item.state == ItemState::Stored) {
             for (const ItemResult &result : runner.log().results()) {
                 if (result.id == name && result.state == ResultState::Completed) {
-                    texts[name] = {{"result", toJson(result)}};
+                    texts[name] = {{"result", toJson(result)}, {"reward", rewardId}};
                 }
             }
         } else if (item.state == ItemState::Finished && !item.text.empty()) {
-            const ItemResult result{name, ResultState::Completed, item.text.joinEvents(), item.text.versions};
-            texts[name] = {{"result", toJson(result)}};
+            const ItemResult result{name, ResultState::Completed, item.text.joinEvents(), item.text.versions,
+                                    item.score};
+            texts[name] = {{"result", toJson(result)}, {"reward", rewardId}};
         } else if (!item.text.empty()) {
             texts[name] = {{"text", toJson(item.text)}};
         }
@@ -360,7 +377,7 @@
     for (const auto &[id, entry] : texts.items()) {
         if (entry.contains("result")) {
             if (const auto result = parseItemResult(entry["result"])) {
-                runner.reuseResult(*result);
+                runner.reuseResult(*result, fieldOr<std::string>(entry, "reward", ""));
             }
         } else if (entry.contains("text")) {
             if (const auto text = parseItemText(entry["text"])) {
@@ -411,6 +428,7 @@
 {
     for (const auto &[id, owned] : owned_) {
         owned->runner->sendWaitingItems();
+        owned->runner->sendRewardCalls();
     }
 }
 
--- a/src/jobs/jobservice.h
+++ b/src/jobs/jobservice.h
@@ -121,9 +121,10 @@
     /// Stops running a job that another node took over and answers its pending reads.
     void loseOwnership(const std::string &jobId);
     static Json itemIds(const JobSpec &spec);
-    /// Asks peers for text that was generated for these items in earlier jobs. Calls `onTexts` for each answer that
-    /// contains text.
-    void requestTexts(const Json &ids, const std::function<void(const Json &)> &onTexts);
+    /// Asks peers, stopping ones included, for text that was generated for these items. Calls `onTexts` for each answer
+    /// that contains text, and `onAll` once every peer has answered or timed out; that may be within the call.
+    void requestTexts(const Json &ids, const std::function<void(const Json &)> &onTexts,
+                      const std::function<void()> &onAll);
     Json textsFor(const Json &ids) const;
     static void addTexts(JobRunner &runner, const Json &ids, Json &texts);
     void applyTexts(const std::string &jobId, const Json &texts);
@@ -155,6 +156,7 @@
     bool isOwnedHere(const JobRecord &record) const;
 
     JobContext context_;
+    RewardCaller rewards_; ///< Shared by all runners; declared before the jobs, whose runners refer to it.
     absl::flat_hash_map<std::string, std::unique_ptr<OwnedJob>> owned_;
     /// Jobs that other nodes took over, kept for the text that was generated here.
     absl::flat_hash_map<std::string, std::unique_ptr<OwnedJob>> formerlyOwned_;
--- a/src/jobs/jobstoring.cpp
+++ b/src/jobs/jobstoring.cpp
@@ -53,6 +53,7 @@
             result.state = item.text.empty() ? ResultState::Abandoned : ResultState::Completed;
             result.text = item.text.joinEvents();
             result.versions = item.text.versions;
+            result.score = item.score;
             bytes += result.text.size();
             segment.results.push_back(std::move(result));
         }
@@ -150,6 +151,7 @@
         if (tracker_.items()[*index].state == ItemState::Running) {
             requeue(*index, "result stored by another node", absl::ZeroDuration());
         }
+        cancelRewardCall(tracker_.items()[*index]);
         tracker_.markStored(*index);
     }
     telemetry::log(Level::Info, "job", "results_stored",
--- a/src/jobs/jobtakeover.cpp
+++ b/src/jobs/jobtakeover.cpp
@@ -301,9 +301,13 @@
                 }
                 takingOver_.erase(claimed.id);
                 addOwnedJob(claimed, claimedRevision, spec, std::move(*log));
-                owned_[claimed.id]->runner->fence();
-                requestTexts(itemIds(spec), [this, id = claimed.id](const Json &texts) { applyTexts(id, texts); });
-                dispatchItems();
+                const std::shared_ptr<JobRunner> runner = owned_[claimed.id]->runner;
+                runner->fence();
+                // Items that are sent before the texts arrive are generated again from the start.
+                runner->holdItems(context_.settings.textTimeout);
+                requestTexts(
+                    itemIds(spec), [this, id = claimed.id](const Json &texts) { applyTexts(id, texts); },
+                    [runner] { runner->releaseItems(); });
             });
         });
     });
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -108,12 +108,13 @@
         [this] { return mesh_.reachable(); }};
     jobs::JobSettings jobSettings;
     jobSettings.retention = settings_.jobRetention;
-    jobs_ = std::make_unique<jobs::JobService>(
-        jobs::JobContext{loop, replicas_, binding_.replicas, relayedStore_.port(), peers, config,
-                         [this]() -> const std::map<std::string, std::string> & {
-                             return controller_->leading() ? controller_->modelByReplica() : leaderPlan_;
-                         },
-                         settings_.name, incarnation_, jobSettings});
+    jobs_ = std::make_unique<jobs::JobService>(jobs::JobContext{
+        loop, replicas_, binding_.replicas, relayedStore_.port(), peers, config,
+        [this]() -> const std::map<std::string, std::string> & {
+            return controller_->leading() ? controller_->modelByReplica() : leaderPlan_;
+        },
+        settings_.name, incarnation_, jobSettings,
+        [this](jobs::RewardOutcome outcome, absl::Duration elapsed) { metrics_.recordReward(outcome, elapsed); }});
     control::ControllerContext context{
         loop,
         replicas_,
--- a/src/node/nodemetrics.cpp
+++ b/src/node/nodemetrics.cpp
@@ -78,6 +78,17 @@
         .record(elapsed);
 }
 
+void NodeMetrics::recordReward(jobs::RewardOutcome outcome, absl::Duration elapsed)
+{
+    const std::string name(nameOf(outcome));
+    registry_.counter("currantlug_reward_calls_total", "Reward calls of batch jobs that ended.", {{"outcome", name}})
+        .add();
+    registry_
+        .histogram("currantlug_reward_seconds", "Time from the first attempt of a reward call to its end.",
+                   {{"outcome", name}})
+        .record(elapsed);
+}
+
 void NodeMetrics::setReplicas(const serving::ReplicaTable &replicas, Instant now)
 {
     std::map<std::pair<std::string, ReplicaCondition>, int> counts;
--- a/src/node/nodemetrics.h
+++ b/src/node/nodemetrics.h
@@ -41,6 +41,9 @@
     /// Records a finished client request. `status` is 0 if no HTTP status was sent.
     void recordRequest(serving::RouteKind kind, std::string_view outcome, int status, absl::Duration elapsed);
 
+    /// Records a finished reward call.
+    void recordReward(jobs::RewardOutcome outcome, absl::Duration elapsed);
+
     /// Updates the gauges and returns all metrics in text format.
     std::string exposition(const NodeStatus &status, const serving::ReplicaTable &replicas, Instant now);
 
--- a/src/serving/replica.h
+++ b/src/serving/replica.h
@@ -45,6 +45,8 @@
     Instant removeAt = Instant(absl::InfiniteDuration());
     absl::Duration eventGap; ///< Smoothed time between two events of a stream; zero if not known.
     Instant lastEventAt; ///< Time of the last event that updated eventGap.
+    ReplicaLoad load; ///< As last reported by the replica; meaningful only shortly after loadAt.
+    Instant loadAt = Instant(-absl::InfiniteDuration());
 };
 
 } // namespace currantlug::serving
--- a/src/serving/replicatable.cpp
+++ b/src/serving/replicatable.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <tuple>
+#include <utility>
 
 namespace currantlug::serving {
 
@@ -12,6 +13,8 @@
 // is noisy. Above the second factor a replica is considered faulty.
 constexpr double EqualGapFactor = 1.15;
 constexpr double SlowGapFactor = 1.8;
+// One in this many slots of a replica is kept free of background calls.
+constexpr int ReservedSlotsDivisor = 3;
 
 int slownessRank(absl::Duration gap, absl::Duration best)
 {
@@ -96,6 +99,36 @@
     return best;
 }
 
+int ReplicaTable::knownLoad(const Replica &replica, Instant now) const
+{
+    if (now - replica.loadAt > settings_.loadTtl) {
+        return replica.inFlight;
+    }
+    return std::max(replica.inFlight, replica.load.running + replica.load.waiting);
+}
+
+Replica *ReplicaTable::chooseForBackground(std::string_view service, const std::set<std::string> &tried, Instant now)
+{
+    Replica *best = nullptr;
+    std::pair<int, int> bestRank;
+    for (auto &[id, replica] : replicas_) {
+        if (replica.entry.service != service || replica.entry.draining || replica.removeAt <= now
+            || replica.backoffUntil > now || tried.contains(id)) {
+            continue;
+        }
+        const int load = knownLoad(replica, now);
+        if (load >= replica.entry.slots - replica.entry.slots / ReservedSlotsDivisor) {
+            continue;
+        }
+        const std::pair<int, int> rank{load / 2 + zoneDistance(replica), load};
+        if (best == nullptr || rank < bestRank) {
+            best = &replica;
+            bestRank = rank;
+        }
+    }
+    return best;
+}
+
 bool ReplicaTable::canRun(const Replica &replica, const ItemRequirements &requirements) const
 {
     if (replica.entry.service != requirements.service || replica.entry.draining) {
@@ -153,6 +186,14 @@
     return best;
 }
 
+void ReplicaTable::recordLoad(Replica &replica, const std::optional<ReplicaLoad> &load, Instant now)
+{
+    if (load) {
+        replica.load = *load;
+        replica.loadAt = now;
+    }
+}
+
 void ReplicaTable::recordSuccess(Replica &replica)
 {
     replica.failures = 0;
--- a/src/serving/replicatable.h
+++ b/src/serving/replicatable.h
@@ -31,6 +31,8 @@
     absl::Duration fullBackoff = absl::Milliseconds(60); ///< After a refusal by a full replica.
     /// After a refusal with free slots: weights are being loaded.
     absl::Duration loadingBackoff = absl::Milliseconds(250);
+    /// A reported load says nothing about the present after this time, a few times that of a plain request.
+    absl::Duration loadTtl = absl::Milliseconds(150);
 };
 
 class ReplicaTable
@@ -55,6 +57,10 @@
     /// nearby. Replicas in backoff come last. Null if there is none.
     Replica *chooseForRequest(std::string_view service, const std::set<std::string> &tried, Instant now);
 
+    /// Returns the best replica of a service for a background call, which must not delay client requests: a third of
+    /// the slots of each replica stays free, and replicas in backoff are left out. Null if there is none.
+    Replica *chooseForBackground(std::string_view service, const std::set<std::string> &tried, Instant now);
+
     struct ItemRequirements
     {
         std::string service;
@@ -69,6 +75,8 @@
     /// Shortest event gap among the replicas that meet the requirements; zero if none is known.
     absl::Duration shortestEventGap(const ItemRequirements &requirements) const;
 
+    /// Records the load that the replica reported with a response.
+    static void recordLoad(Replica &replica, const std::optional<ReplicaLoad> &load, Instant now);
     void recordSuccess(Replica &replica);
     void recordFailure(Replica &replica, Instant now);
     /// Records that the replica refused a request without running it.
@@ -76,6 +84,8 @@
 
 private:
     int zoneDistance(const Replica &replica) const;
+    /// Number of requests at the replica, as far as known: those of this node, or more if the replica reported more.
+    int knownLoad(const Replica &replica, Instant now) const;
     bool canRun(const Replica &replica, const ItemRequirements &requirements) const;
 
     ReplicaTableSettings settings_;
--- a/src/serving/requestrunner.cpp
+++ b/src/serving/requestrunner.cpp
@@ -197,6 +197,9 @@
     }
     const Instant now = net::loopNow();
     Replica *replica = replicas_.find(active->attempts[index].replica);
+    if (replica != nullptr) {
+        ReplicaTable::recordLoad(*replica, head.load, now);
+    }
     if (!response.ok()) {
         const ErrorContext context = errorContext(response.status());
         telemetry::log(Level::Warning, "request", "attempt_failed",
--- a/tests/adapter/codectest.cpp
+++ b/tests/adapter/codectest.cpp
@@ -124,7 +124,7 @@
     CHECK(spec->minVersion == 2);
     CHECK(spec->items.at(0).body == "\xab\xcd\xef\x12\x34\x56\x78\x90");
     CHECK(spec->items[0].lengthHint == 120);
-    const std::map<std::string, std::string> bad{
+    std::map<std::string, std::string> bad{
         {"cut", R"({"items":[)"},
         {"no items", R"({"items":[]})"},
         {"items of another type", R"({"items":{"a":1}})"},
@@ -135,6 +135,26 @@
         {"header with a line break",
          "{\"items\":[{\"id\":\"i\",\"path\":\"/p\",\"body\":\"\",\"headers\":{\"A\":\"x\\r\\nB: y\"}}]}"},
     };
+    const auto withScorer = [](const std::string &scorer) {
+        return R"({"items":[{"id":"i","path":"/p","body":"","scorer":)" + scorer + "}]}";
+    };
+    request.body = withScorer(R"({"id":"c","host":"d.example","path":"/s/1","body":"3q2+7w=="})");
+    const auto scored = parseJob(request, "t1");
+    REQUIRE(scored.ok());
+    CHECK(scored->items[0].reward->id == "c");
+    CHECK(scored->items[0].reward->host == "d.example");
+    CHECK(scored->items[0].reward->path == "/s/1");
+    CHECK(scored->items[0].reward->body == "\xde\xad\xbe\xef");
+    CHECK_FALSE(spec->items[0].reward);
+    bad.insert({
+        {"scorer is no table", withScorer("7")},
+        {"scorer without id", withScorer(R"({"host":"d","path":"/s","body":""})")},
+        {"scorer without host", withScorer(R"({"id":"c","path":"/s","body":""})")},
+        {"scorer without path", withScorer(R"({"id":"c","host":"d","path":"s","body":""})")},
+        {"scorer whose body is not base64", withScorer(R"({"id":"c","host":"d","path":"/s","body":"*"})")},
+        {"scorer without body", withScorer(R"({"id":"c","host":"d","path":"/s"})")},
+        {"scorer with a line break", withScorer(R"({"id":"c","host":"d\r\nX: y","path":"/s","body":""})")},
+    });
     for (const auto &[name, body] : bad) {
         CAPTURE(name);
         request.body = body;
@@ -144,13 +164,16 @@
 
 TEST_CASE("results are encoded in the platform's words")
 {
-    const jobs::ResultPage page{40, 13, {{"i", jobs::ResultState::Abandoned, "", {}}, {"j", {}, "a\nb", {6, 7}}}};
+    const jobs::ResultPage page{
+        40, 13, {{"i", jobs::ResultState::Abandoned, "", {}}, {"j", {}, "a\nb", {6, 7}, "stamp"}}};
     const auto json = parseJson(encodePage(page));
     CHECK((*json)["total"] == 40);
     CHECK((*json)["next"] == 13);
     CHECK((*json)["results"][0]["state"] == "abandoned");
     CHECK((*json)["results"][1]["state"] == "completed");
     CHECK((*json)["results"][1]["versions"] == Json({6, 7}));
+    CHECK((*json)["results"][1]["score"] == "stamp");
+    CHECK_FALSE((*json)["results"][0].contains("score"));
 }
 
 // Guards against keys at replicas, and against fields that a client forges.
--- a/tests/fakes/fakereplicas.h
+++ b/tests/fakes/fakereplicas.h
@@ -1,10 +1,12 @@
-// Fake of ReplicaPort: generates streams of events with timers of the event loop.
+// Fake of ReplicaPort: generates streams of events and answers plain requests with timers of the event loop.
 #ifndef CURRANTLUG_TESTS_FAKES_FAKEREPLICAS_H
 #define CURRANTLUG_TESTS_FAKES_FAKEREPLICAS_H
 
 #include "net/eventloop.h"
 #include "serving/replicaport.h"
 
+#include <algorithm>
+#include <deque>
 #include <map>
 #include <memory>
 #include <set>
@@ -23,6 +25,23 @@
         std::optional<std::uint64_t> resumeAfter;
     };
 
+    struct ReceivedCall
+    {
+        std::string replica;
+        serving::OutboundRequest request;
+        int eventsOfItem = 0; ///< Events made so far for the item of that name in itemOfCall.
+    };
+
+    /// How a replica answers a plain request.
+    enum class Answer {
+        Success,
+        ServerError, ///< Status 500: the request ran.
+        Full, ///< Status 503 and "not run".
+        Reset, ///< The connection ends without an answer.
+        WrongRequest, ///< An answer that belongs to another request.
+        Silence,
+    };
+
     explicit FakeReplicas(net::Loop &loop)
         : loop_(loop)
     {
@@ -38,6 +57,16 @@
     std::vector<ReceivedRequest> receivedRequests;
     int running = 0;
 
+    absl::Duration callDuration = absl::Milliseconds(2); ///< Of a plain request.
+    std::map<std::string, std::deque<Answer>> answersToCall; ///< By request id, in order; then Success.
+    std::map<std::string, Answer> answerOfReplica; ///< For all plain requests to a replica; Success if not set.
+    std::map<std::string, std::string> itemOfCall; ///< By request id.
+    std::vector<ReceivedCall> receivedCalls;
+    int runningCalls = 0;
+    int mostRunningCalls = 0;
+
+    static std::string signatureOf(const std::string &requestId) { return "stamp of " + requestId; }
+
     serving::ReplicaPort port()
     {
         serving::ReplicaPort port;
@@ -57,7 +86,14 @@
             }
             return id;
         };
-        port.cancel = [this](net::CallId id) { running -= static_cast<int>(attempts_.erase(id)); };
+        port.send = [this](const serving::Replica &replica, const serving::OutboundRequest &request,
+                           const net::ClientLimits &, serving::ReplicaHandlers handlers) {
+            return receiveCall(replica.entry.id, request, std::move(handlers));
+        };
+        port.cancel = [this](net::CallId id) {
+            running -= static_cast<int>(attempts_.erase(id));
+            runningCalls -= static_cast<int>(calls_.erase(id));
+        };
         return port;
     }
 
@@ -79,6 +115,72 @@
         std::uint64_t next = 1;
     };
 
+    struct PendingCall
+    {
+        std::string requestId;
+        Answer answer = Answer::Success;
+        serving::ReplicaHandlers handlers;
+    };
+
+    net::CallId receiveCall(const std::string &replica, const serving::OutboundRequest &request,
+                            serving::ReplicaHandlers handlers)
+    {
+        const net::CallId id = ++lastId_;
+        const std::string item = itemOfCall.contains(request.id) ? itemOfCall[request.id] : std::string();
+        receivedCalls.push_back({replica, request, eventsMade_[item]});
+        PendingCall call{request.id, Answer::Success, std::move(handlers)};
+        if (auto &answers = answersToCall[request.id]; !answers.empty()) {
+            call.answer = answers.front();
+            answers.pop_front();
+        } else if (answerOfReplica.contains(replica)) {
+            call.answer = answerOfReplica[replica];
+        }
+        const bool silentCall = call.answer == Answer::Silence;
+        calls_[id] = std::move(call);
+        mostRunningCalls = std::max(mostRunningCalls, ++runningCalls);
+        if (!silentCall) {
+            net::runAfter(loop_, callDuration, [this, id] { answerCall(id); });
+        }
+        return id;
+    }
+
+    void answerCall(net::CallId id)
+    {
+        const auto found = calls_.find(id);
+        if (found == calls_.end()) {
+            return;
+        }
+        const PendingCall call = std::move(found->second);
+        calls_.erase(found);
+        --runningCalls;
+        serving::ReplicaHead head;
+        net::HttpResponse response;
+        head.signature = signatureOf(call.requestId);
+        switch (call.answer) {
+        case Answer::Success:
+            head.status = 200;
+            break;
+        case Answer::ServerError:
+            head.status = 500;
+            break;
+        case Answer::Full:
+            head.status = 503;
+            head.notRun = true;
+            break;
+        case Answer::WrongRequest:
+            head.status = 200;
+            head.requestMismatch = true;
+            call.handlers.onDone(head, absl::DataLossError("the answer belongs to another request"));
+            return;
+        case Answer::Reset:
+        case Answer::Silence:
+            call.handlers.onDone({}, absl::UnavailableError("reset"));
+            return;
+        }
+        response.status = head.status;
+        call.handlers.onDone(head, response);
+    }
+
     void sendHead(net::CallId id)
     {
         const auto found = attempts_.find(id);
@@ -108,6 +210,7 @@
             finish(id, absl::OkStatus());
             return;
         }
+        eventsMade_[item] = static_cast<int>(attempt->next);
         attempt->handlers.onEvent({attempt->next, item + "/" + std::to_string(attempt->next), std::nullopt});
         ++attempt->next;
         net::runAfter(loop_, eventGap, [this, id] { sendNextEvent(id); });
@@ -124,6 +227,8 @@
     net::Loop &loop_;
     net::CallId lastId_ = 0;
     std::map<net::CallId, std::shared_ptr<Attempt>> attempts_;
+    std::map<net::CallId, PendingCall> calls_;
+    std::map<std::string, int> eventsMade_; ///< By item.
 };
 
 } // namespace currantlug::tests
--- a/tests/jobs/jobcluster.h
+++ b/tests/jobs/jobcluster.h
@@ -29,6 +29,15 @@
         route.kind = serving::RouteKind::Rollout;
         route.maxAttempts = 2;
         route.services = {{"engine", 1}};
+        config.routes.push_back({});
+        serving::Route &deskRoute = config.routes.back();
+        deskRoute.name = "desk";
+        deskRoute.host = "desk.example";
+        deskRoute.pathPrefix = "/score/";
+        deskRoute.kind = serving::RouteKind::Safe;
+        deskRoute.maxAttempts = 3;
+        deskRoute.targetLatency = absl::Milliseconds(100);
+        deskRoute.services = {{"desk", 1}};
         for (const std::string &name : names) {
             start(name);
         }
@@ -48,6 +57,13 @@
             entry.weightVersions["model"] = 1;
             member.table->update(entry);
         }
+        for (const char *id : {"d1", "d2"}) {
+            serving::ReplicaEntry entry;
+            entry.id = id;
+            entry.service = "desk";
+            entry.slots = deskSlots;
+            member.table->update(entry);
+        }
         const jobs::PeerPort peers{
             [this, name](const std::string &node, const std::string &method, const Json &body, absl::Duration,
                          jobs::PeerPort::Callback done) { call(name, node, method, body, std::move(done)); },
@@ -70,7 +86,16 @@
                 return found == members_.end() || found->second.service == nullptr || found->second.stopping
                     || found->second.incarnation != incarnation || !reachable(name, node);
             },
-            [this] { return partitions.empty(); }};
+            [this] { return partitions.empty(); },
+            [this, name] {
+                std::vector<std::string> nodes;
+                for (const auto &[other, peer] : members_) {
+                    if (other != name && peer.service != nullptr && reachable(name, other)) {
+                        nodes.push_back(other);
+                    }
+                }
+                return nodes;
+            }};
         member.stopping = false;
         member.service = std::make_unique<jobs::JobService>(
             jobs::JobContext{loop, *member.table, replicas.port(), store.port(), peers, [this] { return &config; },
@@ -91,6 +116,7 @@
         members_[name].stopping = true;
         members_[name].service->releaseJobs();
     }
+    serving::ReplicaTable &tableOf(const std::string &name) { return *members_[name].table; }
     jobs::JobService &at(const std::string &name) { return *members_[name].service; }
 
     static jobs::JobSpec spec(const std::string &id, int items)
@@ -113,6 +139,18 @@
         return spec;
     }
 
+    /// A job whose items have reward calls.
+    jobs::JobSpec scoredSpec(const std::string &id, int items)
+    {
+        jobs::JobSpec spec = JobCluster::spec(id, items);
+        for (jobs::ItemSpec &item : spec.items) {
+            item.reward = jobs::RewardSpec{rewardOf(item.id), "desk.example", "/score/" + item.id, "score " + item.id};
+            replicas.itemOfCall[rewardOf(item.id)] = item.id;
+        }
+        return spec;
+    }
+    static std::string rewardOf(const std::string &item) { return item + "-reward"; }
+
     jobs::SubmitOutcome submit(const std::string &node, jobs::JobSpec spec)
     {
         std::optional<jobs::SubmitOutcome> outcome;
@@ -156,6 +194,7 @@
     FakeReplicas replicas;
     serving::GatewayConfig config;
     jobs::JobSettings settings;
+    static constexpr int deskSlots = 6; ///< Of each of the two replicas that score texts.
     std::set<std::pair<std::string, std::string>> partitions; ///< Pairs of nodes that can't reach each other.
 
 private:
--- a/tests/jobs/jobservicetest.cpp
+++ b/tests/jobs/jobservicetest.cpp
@@ -95,6 +95,25 @@
     CHECK(cluster.store.value("jobs", "job")["owner"] == "b");
 }
 
+// Guards against the loss of all text at a planned stop: the stopping node wasn't asked for it, and items were sent
+// again before the text arrived.
+TEST_CASE("a node that takes over the jobs of a stopping node resumes their texts")
+{
+    JobCluster cluster({"a", "b"});
+    cluster.replicas.eventsPerItem = 40;
+    cluster.replicas.eventGap = absl::Milliseconds(10);
+    REQUIRE(cluster.submit("a", JobCluster::spec("job", 4)) == SubmitOutcome::Accepted);
+    runFor(cluster.loop, std::chrono::milliseconds(150));
+    const std::size_t sent = cluster.replicas.receivedRequests.size();
+    cluster.stop("a");
+    cluster.at("b").scanOrphanedJobs();
+    REQUIRE(cluster.waitForResults("b", "job", 4));
+    REQUIRE(cluster.replicas.receivedRequests.size() == sent + 4);
+    for (std::size_t i = sent; i < sent + 4; ++i) {
+        CHECK(cluster.replicas.receivedRequests[i].resumeAfter.has_value());
+    }
+}
+
 // Guards against results that change or disappear after they were read, when the owner dies.
 TEST_CASE("results that were read keep their positions after a takeover")
 {
--- a/tests/jobs/partstest.cpp
+++ b/tests/jobs/partstest.cpp
@@ -11,7 +11,7 @@
 
 ItemResult result(const std::string &id, std::size_t bytes = 10)
 {
-    return {id, ResultState::Completed, std::string(bytes, 'x'), {1}};
+    return {id, ResultState::Completed, std::string(bytes, 'x'), {1}, {}};
 }
 
 } // namespace
@@ -52,7 +52,7 @@
 
 TEST_CASE("segments and items are unchanged after writing and parsing their JSON forms")
 {
-    const Segment segment{7, "nonce", {result("a"), {"b", ResultState::Abandoned, "", {}}}};
+    const Segment segment{7, "nonce", {result("a"), {"b", ResultState::Abandoned, "", {}, {}}}};
     const auto read = parseSegment(7, toJson(segment));
     REQUIRE(read);
     CHECK(read->nonce == "nonce");
@@ -66,6 +66,28 @@
     REQUIRE(back);
     CHECK(back->body == item.body);
     CHECK(back->headers.find("x-some") == "value");
+    CHECK_FALSE(back->reward);
+    item.reward = RewardSpec{"c", "h", "/s", std::string("\0\xff", 2)};
+    const auto scored = parseItemSpec(toJson(item));
+    REQUIRE(scored);
+    REQUIRE(scored->reward);
+    CHECK(scored->reward->body == item.reward->body);
+    CHECK(scored->reward->path == "/s");
+    const Segment scoredSegment{8, "nonce", {{"a", ResultState::Completed, "t", {1}, "stamp"}}};
+    CHECK(parseSegment(8, toJson(scoredSegment))->results.at(0).score == "stamp");
+    ItemText text;
+    text.events = {"e"};
+    text.versions = {1};
+    text.complete = true;
+    CHECK(parseItemText(toJson(text))->complete);
+    // Segments and texts of earlier builds have no scores and don't tell whether a text is complete.
+    const auto old = parseSegment(0, *parseJson(R"({"nonce":"n","results":[
+        {"id":"a","state":"completed","text":"t","versions":[1]}]})"));
+    REQUIRE(old);
+    CHECK(old->results.at(0).score.empty());
+    const auto oldText = parseItemText(*parseJson(R"({"events":["e"],"last":1,"versions":[1]})"));
+    REQUIRE(oldText);
+    CHECK_FALSE(oldText->complete);
     CHECK_FALSE(parseSegment(0, Json{{"results", {{{"id", "x"}}}}}));
     CHECK_FALSE(parseJobRecord("j", Json::array()));
     CHECK(segmentName(9) < segmentName(10));
--- a/tests/serving/replicatabletest.cpp
+++ b/tests/serving/replicatabletest.cpp
@@ -1,5 +1,6 @@
-// Load balancing among replicas, and lookups in the configuration.
+// Load balancing among replicas, limits on background calls, and lookups in the configuration.
 #include "serving/replicatable.h"
+#include "serving/concurrencylimit.h"
 #include "serving/gatewayconfig.h"
 
 #include <catch2/catch.hpp>
@@ -169,3 +170,79 @@
     CHECK(toY > 650);
     CHECK(toY < 850);
 }
+
+// Guards against clients that find all slots taken by background calls, this node's or another's.
+TEST_CASE("background calls leave a third of the slots free and avoid replicas in backoff")
+{
+    ReplicaTable replicas = table();
+    for (const char *id : {"a", "b"}) {
+        ReplicaEntry large = entry(id);
+        large.slots = 6;
+        replicas.update(large);
+    }
+    Replica &a = *replicas.find("a");
+    Replica &b = *replicas.find("b");
+    a.inFlight = 4;
+    CHECK(replicas.chooseForBackground("s", {}, Now) == &b);
+    ReplicaTable::recordLoad(b, ReplicaLoad{3, 1, 6}, Now);
+    CHECK(replicas.chooseForBackground("s", {}, Now) == nullptr);
+    CHECK(replicas.chooseForRequest("s", {}, Now) != nullptr);
+    // The report is out of date after a second.
+    CHECK(replicas.chooseForBackground("s", {}, Now + absl::Seconds(1)) == &b);
+    replicas.recordFailure(b, Now + absl::Seconds(1));
+    CHECK(replicas.chooseForBackground("s", {}, Now + absl::Seconds(1)) == nullptr);
+}
+
+// Guards against background calls that never run because a replica has too few slots to keep one free.
+TEST_CASE("a replica with one slot takes a background call")
+{
+    ReplicaTable replicas = table();
+    ReplicaEntry small = entry("a");
+    small.slots = 1;
+    replicas.update(small);
+    CHECK(replicas.chooseForBackground("s", {}, Now) != nullptr);
+}
+
+// Guards against nodes that together overload a service: seeded nodes send as much as their limits allow to a service
+// that refuses what exceeds its capacity.
+TEST_CASE("the limits of several nodes settle near the capacity of a service")
+{
+    constexpr int Nodes = 12;
+    constexpr int Capacity = 24;
+    constexpr int Rounds = 400;
+    std::vector<ConcurrencyLimit> limits(Nodes);
+    int sent = 0;
+    int refused = 0;
+    Instant now = Now;
+    for (int round = 0; round < Rounds; ++round) {
+        now = now + absl::Milliseconds(100);
+        int running = 0;
+        for (int i = 0; i < Nodes; ++i) {
+            // The order changes from round to round, so that the refusals fall to different nodes.
+            ConcurrencyLimit &limit = limits[static_cast<std::size_t>((i + round) % Nodes)];
+            int taken = 0;
+            while (limit.tryAcquire()) {
+                ++taken;
+            }
+            for (int call = 0; call < taken; ++call) {
+                limit.release();
+                if (round >= Rounds / 2) {
+                    ++sent;
+                }
+                if (++running <= Capacity) {
+                    limit.recordSuccess();
+                } else {
+                    refused += round >= Rounds / 2 ? 1 : 0;
+                    limit.recordCongestion(now);
+                }
+            }
+        }
+    }
+    CHECK(refused < sent / 4);
+    // At least half of the capacity is used.
+    CHECK(sent - refused > Rounds / 2 * Capacity / 2);
+    for (const ConcurrencyLimit &limit : limits) {
+        CHECK(limit.limit() >= 1);
+        CHECK(limit.inUse() == 0);
+    }
+}
