Watch the registry of replicas from two nodes a zone; the others follow them

Cause: each node watches the registry, and replicas change their entries with every load of weights, so a fleet of 165 nodes makes some 140 calls a second.

Change: WatchPlan ranks the nodes of a zone; the first two watch, the others poll them every 0.5 s for numbered changes (ReplicaJournal, ReplicaFollower). Zones of up to five nodes keep their direct watches. The leader always watches. A node whose sources are silent for 1.2 s and 60 ms a rank watches itself. Removals are remembered for a minute, so that a source that is behind can't bring a replica back. A mirror that is started again counts as synced only after its list. The watch of node registrations waits 2 s after news, since new nodes make themselves known by probes.

Weighed: a longer pause after news (bounded by the drain bound, saves less than half); pushing by watchers (needs a list of subscribers that survives restarts).

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -36,6 +36,9 @@
 // money.
 constexpr absl::Duration ReplicaBatchDelay = absl::Milliseconds(1200);
 
+// New nodes make themselves known by their probes; the registrations only make sure that none stays unknown.
+constexpr absl::Duration NodeBatchDelay = absl::Seconds(2);
+
 objects::MirrorSettings replicaMirrorSettings()
 {
     objects::MirrorSettings settings;
@@ -52,6 +55,13 @@
     return table;
 }
 
+objects::MirrorSettings nodeMirrorSettings()
+{
+    objects::MirrorSettings settings;
+    settings.batchDelay = NodeBatchDelay;
+    return settings;
+}
+
 lease::LeaseSettings leaseSettings(const NodeSettings &settings)
 {
     // Two different holders must not act within one lease TTL. A holder therefore stops acting well before the TTL has
@@ -92,9 +102,11 @@
     , configMirror_(loop, binding_.store, binding_.configKind, {},
                     [this](const ObjectChange &change) { onConfigObject(change); })
     , replicaMirror_(loop, binding_.store, binding_.replicaKind, replicaMirrorSettings(),
-                     [this](const ObjectChange &change) { onReplicaObject(change); })
-    , nodeMirror_(loop, binding_.store, std::string(NodeKind), {},
+                     [this](const ObjectChange &change) { onReplicaObject(change, registryUnstable()); })
+    , nodeMirror_(loop, binding_.store, std::string(NodeKind), nodeMirrorSettings(),
                   [this](const ObjectChange &change) { onNodeObject(change); })
+    , replicaJournal_(incarnation_)
+    , replicaFollower_(mesh_, {}, [this](const ReplicaDelta &delta) { onReplicaDelta(delta); })
     , startedAt_(net::loopNow())
 {
     const auto config = [this] { return config_ ? &*config_ : nullptr; };
@@ -391,6 +403,11 @@
         reply({{"taken", windows.has_value()}});
         return true;
     }
+    if (method == ReplicaFollower::Method) {
+        // Only a node that watches is a source: a chain of followers would add up their delays.
+        reply(ReplicaFollower::answer(replicaJournal_, body, replicaMirror_.current(), registryUnstable()));
+        return true;
+    }
     if (method == "node/snapshot") {
         reply(snapshot(fieldOr<std::uint64_t>(body, "config", 0)));
         return true;
@@ -407,9 +424,9 @@
     if (config_ && config_->revision > configRevision) {
         reply["config"] = encodeObject(configObject_);
     }
-    if (replicaMirror_.current()) {
+    if (replicasCurrent()) {
         Json replicas = Json::array();
-        for (const auto &[id, object] : replicaObjects_) {
+        for (const auto &[id, object] : replicaJournal_.objects()) {
             replicas.push_back(encodeObject(object));
         }
         reply["replicas"] = std::move(replicas);
@@ -423,6 +440,7 @@
     status.ready = ready();
     status.leading = controller_->leading();
     status.storeReached = storeReached();
+    status.watchesReplicas = replicaMirror_.running();
     status.configVersion = config_ ? config_->version : 0;
     status.nodesInContact = mesh_.contacts().size();
     status.openJobs = jobs_->openJobCount();
@@ -438,7 +456,9 @@
 
 void Node::fastTick()
 {
-    replicas_.expire(net::loopNow());
+    const Instant now = net::loopNow();
+    replicas_.expire(now);
+    replicaFollower_.poll(now);
     if (!stopping_) {
         controller_->poll();
     }
@@ -447,7 +467,10 @@
 
 void Node::slowTick()
 {
+    // A mirror that updateWatchPlan() starts is complete by the next tick, so no snapshot is needed for it.
     syncFromPeer();
+    updateWatchPlan();
+    replicaJournal_.expire(net::loopNow());
     unregisterLostNodes();
 }
 
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -11,6 +11,9 @@
 #include "node/nodesettings.h"
 #include "node/peermesh.h"
 #include "node/relayedstore.h"
+#include "node/replicafollower.h"
+#include "node/replicajournal.h"
+#include "node/watchplan.h"
 #include "objects/objectmirror.h"
 #include "serving/requestrunner.h"
 
@@ -108,7 +111,19 @@
     void deny(const serving::InboundRequest &request, const serving::ResponseSink &sink, Denial denial) const;
     void onConfigObject(const objects::ObjectChange &change);
     void applyConfig(const objects::StoredObject &object, std::string_view source);
-    void onReplicaObject(const objects::ObjectChange &change);
+    /// `registryUnstable`: a replica may live although its entry was removed.
+    void onReplicaObject(const objects::ObjectChange &change, bool registryUnstable);
+    void onReplicaDelta(const ReplicaDelta &delta);
+    /// Removes the replicas that aren't registered according to a complete list as of `revision` of the store; 0 if the
+    /// revision isn't known.
+    void removeMissingReplicas(const std::function<bool(const std::string &)> &isRegistered, std::uint64_t revision,
+                               bool registryUnstable);
+    /// Decides whether this node watches the registry of replicas or takes it from peers.
+    void updateWatchPlan();
+    void setWatching(bool watching, std::string_view reason);
+    /// True if the replicas known here follow the registry, directly or through a peer.
+    bool replicasCurrent() const;
+    bool registryUnstable() const;
     void onNodeObject(const objects::ObjectChange &change);
     void registerNode();
     bool peerCall(const std::string &method, const Json &body, std::function<void(Json)> reply);
@@ -147,7 +162,12 @@
     objects::ObjectMirror nodeMirror_;
     std::optional<serving::GatewayConfig> config_;
     objects::StoredObject configObject_; ///< As stored, to be sent to peers.
-    std::map<std::string, objects::StoredObject> replicaObjects_; ///< As stored, by replica id.
+    ReplicaJournal replicaJournal_;
+    ReplicaFollower replicaFollower_;
+    WatchPlan watchPlan_;
+    bool mirrorChecked_ = true; ///< False after a start of the mirror, until its first list was compared.
+    bool snapshotApplied_ = false; ///< A peer's snapshot of the replicas was applied since the mirror's last list.
+    bool sourceUnstable_ = false; ///< The source last followed has an unstable registry.
     std::map<std::string, std::string> leaderPlan_; ///< Model by replica id, as received from the node that leads.
     std::map<std::string, Instant> lostNodes_; ///< Time at which each registered node was found out of contact.
     std::function<void()> configHandler_;
--- a/src/node/nodemetrics.cpp
+++ b/src/node/nodemetrics.cpp
@@ -115,6 +115,8 @@
     set("currantlug_ready", "1 while this node takes requests.", status.ready ? 1 : 0);
     set("currantlug_leading", "1 while this node holds the controller lease.", status.leading ? 1 : 0);
     set("currantlug_store_reached", "1 while the object store answers this node.", status.storeReached ? 1 : 0);
+    set("currantlug_watching_replicas", "1 while this node watches the registry of replicas in the object store.",
+        status.watchesReplicas ? 1 : 0);
     set("currantlug_config_version", "Version of the configuration in force.",
         static_cast<double>(status.configVersion));
     set("currantlug_nodes_in_contact", "Peers that answered recently.", static_cast<double>(status.nodesInContact));
--- a/src/node/nodemetrics.h
+++ b/src/node/nodemetrics.h
@@ -20,6 +20,7 @@
     bool ready = false;
     bool leading = false;
     bool storeReached = false;
+    bool watchesReplicas = false;
     std::uint64_t configVersion = 0; ///< 0 if there is none yet.
     std::size_t nodesInContact = 0; ///< Excludes this node.
     std::size_t openJobs = 0;
--- a/src/node/nodestate.cpp
+++ b/src/node/nodestate.cpp
@@ -4,6 +4,9 @@
 
 #include "telemetry/log.h"
 
+#include <set>
+#include <utility>
+
 namespace currantlug::node {
 
 using objects::ObjectChange;
@@ -56,24 +59,33 @@
     jobs_->dispatchItems();
 }
 
-void Node::onReplicaObject(const ObjectChange &change)
+bool Node::registryUnstable() const
+{
+    return replicaMirror_.failing() || net::loopNow() - replicaMirror_.recoveredAt() < RegistryUnstableTime;
+}
+
+bool Node::replicasCurrent() const
+{
+    if (replicaMirror_.running()) {
+        return replicaMirror_.current();
+    }
+    return replicaFollower_.following()
+        && replicaFollower_.silence(net::loopNow()) < watchPlan_.patience(WatchPlanSettings{});
+}
+
+void Node::onReplicaObject(const ObjectChange &change, bool registryUnstable)
 {
     const std::string &id = change.object.name;
     const Instant now = net::loopNow();
-    // A snapshot of a peer during a store outage may have been newer than the change that the mirror reports now.
-    if (const auto stored = replicaObjects_.find(id);
-        stored != replicaObjects_.end() && stored->second.revision > change.object.revision) {
+    // Another source may have reported something newer than this one.
+    if (!replicaJournal_.record(change, now)) {
         return;
     }
     if (change.removed) {
-        const bool registryUnstable =
-            replicaMirror_.failing() || now - replicaMirror_.recoveredAt() < RegistryUnstableTime;
         telemetry::log(Level::Info, "replica", "removed", {{"replica", id}, {"registry_unsteady", registryUnstable}});
-        replicaObjects_.erase(id);
         replicas_.remove(id, registryUnstable, now);
         return;
     }
-    replicaObjects_[id] = change.object;
     auto entry = binding_.parseReplica(change.object);
     if (!entry) {
         telemetry::log(Level::Warning, "replica", "entry_unreadable",
@@ -97,6 +109,99 @@
     jobs_->dispatchItems();
 }
 
+void Node::removeMissingReplicas(const std::function<bool(const std::string &)> &isRegistered, std::uint64_t revision,
+                                 bool registryUnstable)
+{
+    std::vector<std::string> missing;
+    for (const auto &[id, object] : replicaJournal_.objects()) {
+        if (!isRegistered(id)) {
+            missing.push_back(id);
+        }
+    }
+    const Instant now = net::loopNow();
+    for (const std::string &id : missing) {
+        if (revision > 0) {
+            onReplicaObject({{id, revision, {}, {}}, true}, registryUnstable);
+            continue;
+        }
+        telemetry::log(Level::Info, "replica", "removed", {{"replica", id}, {"registry_unsteady", registryUnstable}});
+        replicaJournal_.recordMissing(id, now);
+        replicas_.remove(id, registryUnstable, now);
+    }
+}
+
+void Node::onReplicaDelta(const ReplicaDelta &delta)
+{
+    sourceUnstable_ = delta.registryUnstable;
+    std::set<std::string> listed;
+    for (const ObjectChange &change : delta.changes) {
+        if (!change.removed) {
+            listed.insert(change.object.name);
+        }
+        onReplicaObject(change, sourceUnstable_);
+    }
+    if (delta.complete) {
+        removeMissingReplicas([&listed](const std::string &id) { return listed.contains(id); }, 0, sourceUnstable_);
+    }
+}
+
+void Node::updateWatchPlan()
+{
+    const Instant now = net::loopNow();
+    if (replicaMirror_.running() && replicaMirror_.current()) {
+        if (std::exchange(snapshotApplied_, false)) {
+            // The snapshot may have been older than what the mirror had reported. It reports everything again.
+            setWatching(false, "after a snapshot");
+            setWatching(true, "after a snapshot");
+        } else if (!std::exchange(mirrorChecked_, true)) {
+            // A peer may have reported replicas that the mirror never saw.
+            removeMissingReplicas([this](const std::string &id) { return replicaMirror_.knows(id); },
+                                  replicaMirror_.revision(), registryUnstable());
+        }
+    }
+    std::vector<std::string> zoneNodes;
+    for (const NodeInfo &node : mesh_.contacts()) {
+        if (node.availabilityZone == settings_.availabilityZone && !node.stopping && node.storeReached) {
+            zoneNodes.push_back(node.name);
+        }
+    }
+    const WatchPlanSettings planSettings;
+    watchPlan_ = planWatch(planSettings, settings_.name, std::move(zoneNodes));
+    // The leader orders replicas and weights, so it knows them at first hand.
+    if (watchPlan_.watches || controller_->leading()) {
+        setWatching(true, "planned");
+        return;
+    }
+    replicaFollower_.follow(watchPlan_.sources, now);
+    if (replicaMirror_.running() && replicaFollower_.silence(now) < planSettings.silenceLimit) {
+        // The mirror goes on until a source has answered.
+        if (replicaFollower_.answered()) {
+            setWatching(false, "planned");
+        }
+    } else if (!replicaMirror_.running() && replicaFollower_.silence(now) > watchPlan_.patience(planSettings)) {
+        setWatching(true, "sources silent");
+    }
+}
+
+void Node::setWatching(bool watching, std::string_view reason)
+{
+    if (watching && reason == "planned") {
+        replicaFollower_.follow({}, net::loopNow());
+    }
+    if (watching == replicaMirror_.running()) {
+        return;
+    }
+    telemetry::log(Level::Info, "node", watching ? "watching_replicas" : "following_replicas",
+                   {{"reason", reason}, {"rank", watchPlan_.rank}, {"sources", watchPlan_.sources.size()}});
+    if (watching) {
+        mirrorChecked_ = false;
+        replicaMirror_.forget();
+        replicaMirror_.start();
+    } else {
+        replicaMirror_.stop();
+    }
+}
+
 void Node::onNodeObject(const ObjectChange &change)
 {
     if (change.removed) {
@@ -172,7 +277,7 @@
         configOutdated =
             configOutdated || (config_ ? node.configRevision > config_->revision : node.configRevision > 0);
     }
-    const bool mirrorsStale = !storeReached() || !replicaMirror_.current();
+    const bool mirrorsStale = !storeReached() || !replicasCurrent();
     if (syncingFromPeer_ || (!configOutdated && !mirrorsStale)) {
         return;
     }
@@ -198,28 +303,17 @@
     if (reply.contains("config")) {
         applyConfig(decodeObject(reply["config"]), "node");
     }
-    if (!reply.contains("replicas") || replicaMirror_.current()) {
+    if (!reply.contains("replicas") || replicasCurrent()) {
         return;
     }
-    std::map<std::string, objects::StoredObject> listed;
+    snapshotApplied_ = true;
+    std::set<std::string> listed;
     for (const Json &entry : reply["replicas"]) {
         objects::StoredObject object = decodeObject(entry);
-        const auto known = replicaObjects_.find(object.name);
-        listed[object.name] = object;
-        if (known == replicaObjects_.end() || known->second.revision < object.revision) {
-            onReplicaObject({std::move(object), false});
-        }
-    }
-    std::vector<std::string> missing;
-    for (const auto &[id, object] : replicaObjects_) {
-        if (!listed.contains(id)) {
-            missing.push_back(id);
-        }
-    }
-    for (const std::string &id : missing) {
-        replicaObjects_.erase(id);
-        replicas_.remove(id, true, net::loopNow());
+        listed.insert(object.name);
+        onReplicaObject({std::move(object), false}, true);
     }
+    removeMissingReplicas([&listed](const std::string &id) { return listed.contains(id); }, 0, true);
 }
 
 } // namespace currantlug::node
--- /dev/null
+++ b/src/node/replicafollower.h
@@ -0,0 +1,65 @@
+// Takes the registrations of replicas from peers that watch the object store, by polling the first source that answers.
+#ifndef CURRANTLUG_NODE_REPLICAFOLLOWER_H
+#define CURRANTLUG_NODE_REPLICAFOLLOWER_H
+
+#include "node/peermesh.h"
+#include "node/replicajournal.h"
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace currantlug::node {
+
+struct ReplicaFollowerSettings
+{
+    /// Between two polls. Together with the batch delay of the source's watch it stays below the time in which the
+    /// removal of a replica must be noticed.
+    absl::Duration period = absl::Milliseconds(500);
+    absl::Duration timeout = absl::Milliseconds(400); ///< Several round trips between the zones of a region.
+};
+
+class ReplicaFollower
+{
+public:
+    static constexpr const char *Method = "node/replicas";
+
+    ReplicaFollower(PeerMesh &mesh, ReplicaFollowerSettings settings, std::function<void(const ReplicaDelta &)> onDelta)
+        : mesh_(mesh)
+        , settings_(settings)
+        , onDelta_(std::move(onDelta))
+    {
+    }
+
+    /// Sets the sources, best first. An empty list ends the polling.
+    void follow(std::vector<std::string> sources, Instant now);
+    bool following() const { return !sources_.empty(); }
+    /// Polls a source if one is due. Must be called several times a second.
+    void poll(Instant now);
+    /// True if a source has answered since the polling began.
+    bool answered() const { return answered_; }
+    /// Time since the last usable answer, or since the polling began.
+    absl::Duration silence(Instant now) const { return now - lastAnswerAt_; }
+
+    /// The body of a poll, read by the source: epoch and sequence number of the last change known.
+    static Json answer(const ReplicaJournal &journal, const Json &body, bool current, bool registryUnstable);
+
+private:
+    void onReply(const std::string &source, const absl::StatusOr<Json> &reply);
+
+    PeerMesh &mesh_;
+    ReplicaFollowerSettings settings_;
+    std::function<void(const ReplicaDelta &)> onDelta_;
+    std::vector<std::string> sources_;
+    std::size_t next_ = 0; ///< Index of the source that is polled next.
+    std::string epoch_; ///< Of the source that sent the last change.
+    std::uint64_t sequence_ = 0;
+    bool pending_ = false;
+    bool answered_ = false;
+    Instant pollAt_;
+    Instant lastAnswerAt_;
+};
+
+} // namespace currantlug::node
+
+#endif
--- a/src/objects/objectmirror.h
+++ b/src/objects/objectmirror.h
@@ -40,11 +40,20 @@
     {
         running_ = false;
         ++generation_;
+        // What happens from now on is unknown until the list after the next start.
+        synced_ = false;
+        failures_ = 0;
     }
+    /// Makes the list after the next start report all objects, and none as removed. Call while it is stopped.
+    void forget() { knownRevisions_.clear(); }
     bool running() const { return running_; }
+    /// True if the last list or a later change has an object of this name.
+    bool knows(const std::string &name) const { return knownRevisions_.contains(name); }
 
-    /// True once the first list is complete.
+    /// True once the first list since the start is complete.
     bool synced() const { return synced_; }
+    /// Revision of the store up to which all changes were reported; 0 before the first list.
+    std::uint64_t revision() const { return watchRevision_; }
     /// True if the last call failed.
     bool failing() const { return failures_ > 0; }
     /// True if the mirror is complete and receives changes.
