Bound answers without end, and keep late copies and unread bodies off the next request

Found while looking for the failures that operators of similar systems reported, and for bytes without end; each shown by a test in tests/net or tests/adapter that fails on the code before: - A server that states a Content-Length beyond memory ended the process: the parser reserves the length (std::bad_alloc). The head is now parsed by itself and the length checked. - A body, chunk line, trailer or event without end grew in memory until its call's time limit, which generations don't have. A stream that is spoiled ends at once instead of being read to its end. - An informational answer was taken for the answer. It is passed over, up to 16 of them. - After an early answer to a long body the connection was used again while the body was still being sent; the next request overwrote the bytes. Such a connection is closed. - Bytes that arrived on an idle connection and weren't seen by the loop yet were read as the next answer.

--- a/src/jobs/itemtracker.h
+++ b/src/jobs/itemtracker.h
@@ -54,6 +54,7 @@
     std::uint64_t attempt = 0; ///< Running: number of the attempt; callbacks of earlier attempts are ignored.
     Instant lastEventAt; ///< Running: time of the last event, or of the start of the attempt.
     Instant startedAt; ///< Running: start of the attempt.
+    std::size_t attemptBytes = 0; ///< Running: length of the events of the attempt.
     bool headSeen = false; ///< Running: the replica has sent its response head.
     Instant notBefore; ///< Waiting or Scoring: the item or its reward call is not sent before this time.
     int failures = 0; ///< Responses that count as failed attempts.
--- a/src/jobs/jobcontext.h
+++ b/src/jobs/jobcontext.h
@@ -49,6 +49,9 @@
     absl::Duration itemRetryDelay = absl::Milliseconds(100); ///< Delay before a failed item is sent again.
     absl::Duration minTimeBeforeMove = absl::Milliseconds(400); ///< Minimum age of an attempt on a slow replica.
     int maxMovesPerItem = 3;
+    /// An attempt whose events exceed this length is given up: a faulty replica may send events without end. Texts have
+    /// some hundred kilobytes at most.
+    std::size_t maxAttemptBytes = 8 << 20;
     /// The time limit of an item is this much later than its route says, since the clocks of two nodes may differ.
     absl::Duration ttlMargin = absl::Seconds(5);
     absl::Duration retention = absl::Seconds(120); ///< A job can be read for this time after its submission.
--- a/src/jobs/jobrunner.cpp
+++ b/src/jobs/jobrunner.cpp
@@ -120,6 +120,7 @@
     item.startedAt = now;
     item.lastEventAt = now;
     item.headSeen = false;
+    item.attemptBytes = 0;
     groupReplica_[item.spec.group] = replica.entry.id;
     ++replica.inFlight;
 
@@ -254,6 +255,13 @@
         requeue(index, "weight version changed during the attempt", VersionRetryDelay);
         return;
     }
+    item.attemptBytes += event.data.size();
+    if (item.attemptBytes > context_.settings.maxAttemptBytes) {
+        item.text = {};
+        item.excludedReplicas.insert(item.replica);
+        requeue(index, "text too long", context_.settings.itemRetryDelay);
+        return;
+    }
     updateEventGap(item, net::loopNow());
     item.text.lastEventId = event.id;
     item.text.addVersion(version->second);
--- a/src/net/clientconnection.cpp
+++ b/src/net/clientconnection.cpp
@@ -16,6 +16,7 @@
 constexpr absl::Duration DefaultKeepAlive = absl::Seconds(4);
 // A connection isn't reused in the last part of the idle time that its peer allows.
 constexpr double KeepAliveShare = 0.7;
+constexpr int MaxInformationalAnswers = 16; // Usual peers send one or two.
 
 absl::Duration keepAliveOf(const Headers &headers)
 {
@@ -50,11 +51,9 @@
     headPassed_ = false;
     sent_ = false;
     headRequest_ = request.method == "HEAD";
+    informationalCount_ = 0;
     output_ = encodeRequest(request);
-    parser_.emplace();
-    parser_->eager(true);
-    parser_->body_limit(boost::none);
-    parser_->skip(headRequest_);
+    resetParser();
     connectUntil_ = now + limits.connect;
     totalUntil_ = now + limits.total;
     silenceUntil_ = now + limits.silence;
@@ -66,6 +65,18 @@
     }
 }
 
+void ClientConnection::resetParser()
+{
+    parser_.emplace();
+    parser_->header_limit(limits_.headBytes);
+    if (handlers_.onBody) {
+        parser_->body_limit(boost::none);
+    } else {
+        parser_->body_limit(limits_.bodyBytes);
+    }
+    parser_->skip(headRequest_);
+}
+
 void ClientConnection::connect()
 {
     const auto endpoint = parseEndpoint(peer_);
@@ -94,11 +105,12 @@
 void ClientConnection::send()
 {
     sent_ = true;
+    writing_ = true;
     boost::asio::async_write(socket_, boost::asio::buffer(output_),
                              [self = shared_from_this()](const boost::system::error_code &error, std::size_t) {
                                  // A peer may answer before it has read a long body and then close: the answer is read
                                  // all the same, and a failed read reports the error.
-                                 static_cast<void>(error);
+                                 self->writing_ = static_cast<bool>(error);
                              });
     read();
 }
@@ -133,25 +145,39 @@
 void ClientConnection::parse(bool endOfStream)
 {
     boost::system::error_code error;
-    const CallId id = id_;
     while (buffer_.size() > 0 && !parser_->is_done()) {
+        // The head by itself first: the parser reserves the stated length before it reads a body.
+        parser_->eager(parser_->is_header_done());
         const std::size_t used = parser_->put(buffer_.data(), error);
         buffer_.consume(used);
         if (error && error != boost::beast::http::error::need_more) {
             fail(absl::StatusCode::kDataLoss, Step::ReadAnswer, error.message());
             return;
         }
-        if (parser_->is_header_done() && !passHead()) {
+        if (parser_->is_header_done() && parser_->content_length().value_or(0) > limits_.bodyBytes) {
+            fail(absl::StatusCode::kDataLoss, Step::ReadAnswer, "body too long");
             return;
         }
-        passBody();
-        if (closed_ || id_ != id) {
+        if (isInformational()) {
+            if (parser_->is_done()) {
+                if (++informationalCount_ > MaxInformationalAnswers) {
+                    fail(absl::StatusCode::kDataLoss, Step::ReadAnswer, "too many informational answers");
+                    return;
+                }
+                resetParser();
+            }
+        } else if (parser_->is_header_done() && (!passHead() || !passBody())) {
             return;
         }
         if (error || used == 0) {
             break;
         }
     }
+    if (!parser_->is_done() && buffer_.size() > limits_.headBytes) {
+        // Only a head, a line of a chunk or its trailers wait for more bytes.
+        fail(absl::StatusCode::kDataLoss, Step::ReadAnswer, "line too long");
+        return;
+    }
     if (endOfStream && parser_->is_header_done() && !parser_->is_done()) {
         parser_->put_eof(error);
     }
@@ -160,6 +186,12 @@
     }
 }
 
+bool ClientConnection::isInformational() const
+{
+    const unsigned status = parser_->is_header_done() ? parser_->get().result_int() : 0;
+    return status / 100 == 1 && status != 101;
+}
+
 bool ClientConnection::passHead()
 {
     if (headPassed_) {
@@ -182,16 +214,35 @@
     return id_ == id && !closed_;
 }
 
-void ClientConnection::passBody()
+void ClientConnection::countCollected(std::uint64_t bytes)
 {
-    if (!headPassed_ || !handlers_.onBody || parser_->get().body().empty()) {
-        return;
+    if (client_ != nullptr) {
+        client_->collectedBytes_ = client_->collectedBytes_ - collected_ + bytes;
+    }
+    collected_ = bytes;
+}
+
+bool ClientConnection::passBody()
+{
+    const CallId id = id_;
+    if (!handlers_.onBody) {
+        countCollected(parser_->get().body().size());
+        if (client_ != nullptr && collected_ > HttpClient::SmallBodyBytes
+            && client_->collectedBytes_ > HttpClient::MaxCollectedBytes) {
+            fail(absl::StatusCode::kResourceExhausted, Step::ReadAnswer, "no memory for the body");
+            return false;
+        }
+        return true;
+    }
+    if (parser_->get().body().empty()) {
+        return true;
     }
     const std::string part = std::move(parser_->get().body());
     parser_->get().body().clear();
     // Copied, since the handler may cancel the call and with it destroy the stored function.
     const auto handler = handlers_.onBody;
     handler(part);
+    return id_ == id && !closed_;
 }
 
 void ClientConnection::complete()
@@ -200,7 +251,9 @@
     const auto done = std::move(handlers_.onDone);
     const CallId id = id_;
     HttpResponse response = std::move(response_);
-    const bool reuse = parser_->keep_alive() && buffer_.size() == 0 && client_ != nullptr;
+    // A peer that answered before it has read the whole body still expects the rest of it.
+    const bool reuse = parser_->keep_alive() && buffer_.size() == 0 && !writing_ && client_ != nullptr;
+    countCollected(0);
     id_ = 0;
     handlers_ = {};
     if (client_ != nullptr) {
@@ -239,6 +292,7 @@
     boost::system::error_code ignored;
     timer_.cancel(ignored);
     socket_.close(ignored);
+    countCollected(0);
     const CallId id = std::exchange(id_, 0);
     if (client_ != nullptr && id != 0) {
         // The connection may be destroyed with its entry, so the handlers go last.
@@ -250,6 +304,13 @@
     handlers_ = {};
 }
 
+bool ClientConnection::usable(Instant now) const
+{
+    // Bytes may have arrived that watchIdle() has not seen yet. They would be read as the answer to the next request.
+    boost::system::error_code ignored;
+    return !closed_ && now < idleUntil_ && socket_.available(ignored) == 0;
+}
+
 void ClientConnection::watchIdle()
 {
     if (watching_ || closed_) {
--- a/src/net/clientconnection.h
+++ b/src/net/clientconnection.h
@@ -22,7 +22,8 @@
     void drop();
     /// Waits for the peer to close an idle connection or to send bytes that belong to no request.
     void watchIdle();
-    bool usable(Instant now) const { return !closed_ && now < idleUntil_; }
+    /// True if an idle connection can take a request: no bytes have arrived that belong to no request.
+    bool usable(Instant now) const;
     void detach() { client_ = nullptr; }
     const std::string &peer() const { return peer_; }
 
@@ -34,9 +35,14 @@
     void read();
     void onRead(const boost::system::error_code &error, std::size_t bytes);
     void parse(bool endOfStream);
+    void resetParser();
+    /// True while the answer being read is informational; a final one follows it.
+    bool isInformational() const;
     /// False if the handler gave the answer up.
     bool passHead();
-    void passBody();
+    /// False if the body is too long.
+    bool passBody();
+    void countCollected(std::uint64_t bytes);
     void complete();
     void fail(absl::StatusCode code, Step step, std::string_view message);
     void arm(Instant until);
@@ -57,6 +63,9 @@
     bool headPassed_ = false;
     bool connected_ = false;
     bool sent_ = false; ///< Bytes of the present request may have left.
+    bool writing_ = false; ///< Bytes of a request are still to be sent; output_ must not change.
+    int informationalCount_ = 0; ///< Informational answers to the present request.
+    std::uint64_t collected_ = 0; ///< Bytes of the present body that the client counts.
     bool closed_ = false;
     bool watching_ = false;
     bool headRequest_ = false;
--- a/src/net/httpclient.h
+++ b/src/net/httpclient.h
@@ -27,6 +27,10 @@
     absl::Duration connect = absl::Milliseconds(1000);
     absl::Duration total = absl::Seconds(5); ///< From the call to the last byte of the answer.
     absl::Duration silence = absl::InfiniteDuration(); ///< Between two reads of the answer.
+    std::uint32_t headBytes = 65536; ///< Of the answer's head, and of each line or trailer within its body.
+    /// Of an answer that is collected; the store's answers and those of peers stay below 2 MB. A body that is passed to
+    /// onBody is not limited here.
+    std::uint64_t bodyBytes = 16 << 20;
 };
 
 /// What a call reports. Exactly one onDone() ends it; none of them is called after cancel().
@@ -56,6 +60,8 @@
                 ClientHandlers handlers);
     /// Ends a call without a report and closes its connection. Does nothing for a call that has ended.
     void cancel(CallId id);
+    /// True until the call has ended or was cancelled.
+    bool isOpen(CallId id) const { return active_.contains(id); }
 
     std::uint64_t connectionsOpened() const { return connectionsOpened_; }
 
@@ -68,7 +74,14 @@
     void ended(CallId id) { active_.erase(id); }
 
     Loop &loop_;
+    /// Limit of the bodies that are being collected at one time, together. Peers that send without end must not use up
+    /// the memory of the process; a small machine has 160 MB.
+    static constexpr std::uint64_t MaxCollectedBytes = 48 << 20;
+    /// A body below this size isn't given up for the sake of others.
+    static constexpr std::uint64_t SmallBodyBytes = 2 << 20;
+
     CallId lastId_ = 0;
+    std::uint64_t collectedBytes_ = 0; ///< Of bodies that are being collected.
     std::uint64_t connectionsOpened_ = 0;
     absl::flat_hash_map<CallId, ConnectionPtr> active_;
     absl::flat_hash_map<std::string, std::vector<ConnectionPtr>> idle_; ///< Most recently used last.
