Serve nothing after a pause before the configuration was compared

A process that was suspended reads the requests that waited in its sockets before the change that withdrew their key or route. A node without a tick for 2 s now compares its configuration with the store's, or with that of a peer, and answers 503 (not run) until then; jobs send nothing meanwhile. The test fails on the code before: a withdrawn key got 404.

A connection that is closed for idleness or at a planned stop is first checked for a request that has arrived and wasn't read yet.

--- a/src/net/serverconnection.cpp
+++ b/src/net/serverconnection.cpp
@@ -258,7 +258,12 @@
     }
     const ServerLimits &limits = server_->limits();
     const bool stopped = !server_->acceptor_.is_open() && !requestBegun_;
-    if (stopped || now - stateSince_ > (requestBegun_ ? limits.headerTimeout : limits.idleTimeout)) {
+    if (!stopped && now - stateSince_ <= (requestBegun_ ? limits.headerTimeout : limits.idleTimeout)) {
+        return;
+    }
+    // A request that has arrived and wasn't read yet is answered first.
+    boost::system::error_code ignored;
+    if (requestBegun_ || socket_.available(ignored) == 0) {
         close();
     }
 }
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -8,6 +8,7 @@
 #include <absl/time/clock.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace currantlug::node {
 
@@ -18,6 +19,11 @@
 
 constexpr absl::Duration FastTickPeriod = absl::Milliseconds(100);
 constexpr absl::Duration SlowTickPeriod = absl::Milliseconds(1000);
+// A process without a fast tick for this time was paused. A new configuration must be in force within 2.5 s; the rest
+// is for the comparison.
+constexpr absl::Duration PauseLimit = absl::Milliseconds(2000);
+constexpr absl::Duration VerifyTimeout = absl::Milliseconds(500); // A few round trips between regions.
+constexpr absl::Duration VerifyRetryDelay = absl::Milliseconds(100);
 // Delays after the start of the node at which it looks for orphaned jobs. Contact to the peers is established during
 // this time, and the owner of a job counts as lost only once it was found to be restarted, refusing connections or
 // silent.
@@ -107,9 +113,10 @@
                   [this](const ObjectChange &change) { onNodeObject(change); })
     , replicaJournal_(incarnation_)
     , replicaFollower_(mesh_, {}, [this](const ReplicaDelta &delta) { onReplicaDelta(delta); })
+    , lastTickAt_(net::loopNow())
     , startedAt_(net::loopNow())
 {
-    const auto config = [this] { return config_ ? &*config_ : nullptr; };
+    const auto config = [this] { return usableConfig(); };
     const jobs::PeerPort peers{
         [this](const std::string &node, const std::string &method, const Json &body, absl::Duration timeout,
                jobs::PeerPort::Callback done) { mesh_.call(node, method, body, timeout, std::move(done)); },
@@ -317,8 +324,8 @@
 std::optional<std::string> Node::authorizeJobCall(const serving::InboundRequest &request,
                                                   const serving::ResponseSink &sink) const
 {
-    if (!config_) {
-        refuseTemporarily(request, sink, "no configuration yet");
+    if (usableConfig() == nullptr) {
+        refuseTemporarily(request, sink, config_ ? "the process was paused" : "no configuration yet");
         return std::nullopt;
     }
     if (config_->workspaces.empty()) {
@@ -338,6 +345,11 @@
         refuseTemporarily(request, sink, "no configuration yet");
         return;
     }
+    checkPause();
+    if (verifying_) {
+        refuseTemporarily(request, sink, "the process was paused");
+        return;
+    }
     const serving::Route *route = config_->findRoute(request.host, net::pathOf(request.target));
     if (route == nullptr || route->services.empty()) {
         deny(request, sink, Denial::NoRoute);
@@ -456,6 +468,7 @@
 
 void Node::fastTick()
 {
+    checkPause();
     const Instant now = net::loopNow();
     replicas_.expire(now);
     replicaFollower_.poll(now);
@@ -465,6 +478,54 @@
     jobs_->tick();
 }
 
+void Node::checkPause()
+{
+    const Instant now = net::loopNow();
+    const absl::Duration gap = now - std::exchange(lastTickAt_, now);
+    if (gap <= PauseLimit || !config_) {
+        return;
+    }
+    telemetry::log(Level::Warning, "node", "paused", {{"gap_ms", absl::ToInt64Milliseconds(gap)}});
+    if (!std::exchange(verifying_, true)) {
+        verifyConfig();
+    }
+}
+
+void Node::verifyConfig()
+{
+    const auto finish = [this](std::string_view source) {
+        if (std::exchange(verifying_, false)) {
+            telemetry::log(Level::Info, "node", "config_verified",
+                           {{"source", source}, {"version", config_ ? config_->version : 0}});
+            jobs_->dispatchItems();
+        }
+    };
+    const auto retryLater = [this] { net::runAfter(loop_, VerifyRetryDelay, [this] { verifyConfig(); }); };
+    binding_.store.get(binding_.configKind, binding_.configName,
+                       [this, finish, retryLater](const objects::StoreReply &reply) {
+                           if (reply.outcome == objects::StoreOutcome::Done && !reply.changes.empty()) {
+                               applyConfig(reply.changes.front().object, "store");
+                               finish("store");
+                               return;
+                           }
+                           const std::string peer = mesh_.peerWithStore();
+                           if (peer.empty()) {
+                               // No node can learn of a newer configuration: the one in force is as good as any.
+                               finish("none");
+                               return;
+                           }
+                           mesh_.call(peer, "node/snapshot", {{"config", config_->revision}}, VerifyTimeout,
+                                      [this, finish, retryLater](const absl::StatusOr<Json> &answer) {
+                                          if (answer.ok() && answer->is_object()) {
+                                              applySnapshot(*answer);
+                                              finish("node");
+                                          } else {
+                                              retryLater();
+                                          }
+                                      });
+                       });
+}
+
 void Node::slowTick()
 {
     // A mirror that updateWatchPlan() starts is complete by the next tick, so no snapshot is needed for it.
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -132,6 +132,12 @@
     /// Runs every SlowTickPeriod: synchronizes with peers and removes the registrations of lost nodes.
     void slowTick();
     bool storeReached() const;
+    /// Detects that this process was paused, for example by a suspension of its machine. What it knows may have run out
+    /// meanwhile: nothing is served until the configuration was compared with the store's or a peer's.
+    void checkPause();
+    void verifyConfig();
+    /// The configuration; null as long as there is none or it must not be used.
+    const serving::GatewayConfig *usableConfig() const { return config_ && !verifying_ ? &*config_ : nullptr; }
     /// False while neither this node nor any peer in contact reaches the object store. A newer configuration may then
     /// have added what the one in force lacks.
     bool configCurrent() const;
@@ -175,6 +181,8 @@
     bool registered_ = false;
     bool stopping_ = false;
     bool syncingFromPeer_ = false;
+    bool verifying_ = false; ///< After a pause, until the configuration was compared.
+    Instant lastTickAt_; ///< Time of the last fast tick, or of the last check for a pause.
     Instant startedAt_;
 };
 
--- a/tests/node/nodetest.cpp
+++ b/tests/node/nodetest.cpp
@@ -7,6 +7,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <chrono>
+#include <thread>
+
 using namespace currantlug;
 using namespace currantlug::tests;
 using objects::StoreOutcome;
@@ -30,6 +33,9 @@
     config.routes.push_back(route);
     config.workspaces.push_back({"breeders", {}});
     config.workspaceByKey["known-key"] = 0;
+    if (!object.value.contains("withdrawn")) {
+        config.workspaceByKey["other key"] = 0;
+    }
     return config;
 }
 
@@ -107,6 +113,22 @@
 
 } // namespace
 
+// Guards against a request that runs with a key which was withdrawn while the process was paused: the request waits in
+// the socket and is read before the change of the configuration.
+TEST_CASE("a node that was paused serves nothing before it has compared its configuration")
+{
+    NodeFixture fixture;
+    REQUIRE(runUntil(fixture.loop, [&fixture] { return fixture.statusOf("/other/", "other key") == 404; }));
+    // No replica is known: a request that is allowed is refused for that reason, one with a withdrawn key by 401.
+    CHECK(fixture.statusOf("/orders/1", "other key") == 503);
+    fixture.store.put(ConfigKind, ConfigName, {{"withdrawn", true}});
+    // The pause of the process; nothing is waited for.
+    std::this_thread::sleep_for(std::chrono::milliseconds(2100));
+    CHECK(fixture.statusOf("/other/", "other key") == 503);
+    REQUIRE(runUntil(fixture.loop, [&fixture] { return fixture.statusOf("/other/", "known-key") == 404; }));
+    CHECK(fixture.statusOf("/orders/1", "other key") == 401);
+}
+
 // Guards against a final denial of a route or key during a store outage: a newer configuration, which no node can
 // fetch, may have added it.
 TEST_CASE("a node asks clients to retry unknown routes and keys during a store outage")
