--- a/tests/jobs/jobservicetest.cpp
+++ b/tests/jobs/jobservicetest.cpp
@@ -365,3 +365,29 @@
     cluster.kill("a");
     CHECK(body("b") == "body of job-1");
 }
+
+// Guards against streams that are cut although they are sound, only slow, and against stalled ones that hold an item
+// up.
+TEST_CASE("a slow stream is not cut, and an item on a stalled one goes on elsewhere")
+{
+    JobCluster cluster({"a"});
+    cluster.settings.eventTimeout = absl::Milliseconds(400);
+    cluster.start("a");
+    cluster.replicas.eventsPerItem = 6;
+    cluster.replicas.eventGap = absl::Milliseconds(200);
+    SECTION("slow")
+    {
+        REQUIRE(cluster.submit("a", JobCluster::spec("job", 4)) == SubmitOutcome::Accepted);
+        REQUIRE(cluster.waitForResults("a", "job", 4));
+        CHECK(cluster.replicas.receivedRequests.size() == 4);
+    }
+    SECTION("stalled")
+    {
+        cluster.replicas.silent = {"r1"};
+        REQUIRE(cluster.submit("a", JobCluster::spec("job", 4)) == SubmitOutcome::Accepted);
+        REQUIRE(cluster.waitForResults("a", "job", 4));
+        for (const jobs::ItemResult &result : cluster.read("a", "job").second.results) {
+            CHECK(result.text == FakeReplicas::textOf(result.id, 6));
+        }
+    }
+}
--- a/tests/report/logexplainertest.cpp
+++ b/tests/report/logexplainertest.cpp
@@ -119,3 +119,25 @@
     CHECK(read->field("n") == "5");
     CHECK(parseLogLine("2026-12-04T10:00:01Z info node started", "f.log")->source == "f.log");
 }
+
+// Guards against a late step whose cause, the replica that scored no text, can't be found from the item or its reward
+// call.
+TEST_CASE("an item leads to its reward call and the replica that was asked")
+{
+    const std::string log = line("front-1", 5, "job", "submitted", {{"job", "j1"}})
+        + line("front-1", 9, "replica", "removed", {{"replica", "d-1"}, {"registry_unsteady", false}})
+        + line("front-1", 10, "reward", "attempt_failed",
+               {telemetry::requestId("item"), {"reward", "call"}, {"replica", "d-1"}, {"status", 0}})
+        + line("front-1", 10, "reward", "retry",
+               {telemetry::requestId("item"), {"job", "j1"}, {"reward", "call"}, {"outcome", "lost"}})
+        + line("front-1", 10, "reward", "retry",
+               {telemetry::requestId("item2"), {"job", "j1"}, {"reward", "call2"}, {"outcome", "lost"}});
+    for (const std::string id : {"item", "call"}) {
+        const Explanation found = explain(log, id);
+        CHECK(found.direct == 2);
+        CHECK(found.lines.size() == 4);
+        CHECK(found.replicas.contains("d-1"));
+        CHECK(tells(found, "removed", "replica=d-1"));
+        CHECK(tells(found, "submitted", "job=j1"));
+    }
+}
