--- a/src/jobs/jobtakeover.cpp
+++ b/src/jobs/jobtakeover.cpp
@@ -8,8 +8,8 @@
 #include <absl/time/clock.h>
 
 #include <algorithm>
+#include <array>
 #include <set>
-#include <vector>
 
 namespace currantlug::jobs {
 
@@ -21,13 +21,10 @@
 namespace {
 
 constexpr absl::Duration OrphanScanRetryDelay = absl::Seconds(1);
-// Delays after the loss of a node at which its successors search for its jobs, by rank; the later searches find what an
-// earlier successor has not taken over. A job may become recognizable as orphaned only once its owner counts as lost.
-const std::vector<std::vector<absl::Duration>> ScanDelaysByRank{
-    {absl::ZeroDuration(), absl::Milliseconds(1500), absl::Seconds(4)},
-    {absl::Milliseconds(1500), absl::Seconds(4)},
-    {absl::Seconds(4)},
-};
+// Delays after the loss of a node at which its successors search for its jobs. The successor of rank r begins with the
+// delay at index r; the later searches find what an earlier successor has not taken over. A job may become recognizable
+// as orphaned only once its owner counts as lost at all nodes.
+constexpr std::array<absl::Duration, 3> ScanDelays{absl::ZeroDuration(), absl::Milliseconds(1500), absl::Seconds(4)};
 // A job that its successor leaves for this time is taken over by any node that finds it: the views of the nodes differ,
 // or the successor runs an earlier build, which chooses otherwise.
 constexpr absl::Duration SuccessorTime = absl::Milliseconds(2400);
@@ -238,11 +235,8 @@
             ++rank;
         }
     }
-    if (rank >= ScanDelaysByRank.size()) {
-        return;
-    }
-    for (const absl::Duration delay : ScanDelaysByRank[rank]) {
-        net::runAfter(context_.loop, delay, [this] { scanOrphanedJobs(); });
+    for (std::size_t index = rank; index < ScanDelays.size(); ++index) {
+        net::runAfter(context_.loop, ScanDelays[index], [this] { scanOrphanedJobs(); });
     }
 }
 
--- a/src/jobs/rewardcaller.h
+++ b/src/jobs/rewardcaller.h
@@ -15,6 +15,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace currantlug::jobs {
