--- a/src/net/clientconnection.cpp
+++ b/src/net/clientconnection.cpp
@@ -109,7 +109,8 @@
     boost::asio::async_write(socket_, boost::asio::buffer(output_),
                              [self = shared_from_this()](const boost::system::error_code &error, std::size_t) {
                                  // A peer may answer before it has read a long body and then close: the answer is read
-                                 // all the same, and a failed read reports the error.
+                                 // all the same, and a failed read reports the error. After a failure the request
+                                 // stays incomplete, so the connection isn't used again.
                                  self->writing_ = static_cast<bool>(error);
                              });
     read();
--- a/src/node/replicafollower.h
+++ b/src/node/replicafollower.h
@@ -41,7 +41,8 @@
     /// Time since the last usable answer, or since the polling began.
     absl::Duration silence(Instant now) const { return now - lastAnswerAt_; }
 
-    /// The body of a poll, read by the source: epoch and sequence number of the last change known.
+    /// Answer of a source to a poll. `body` has the epoch and the sequence number of the last change that the follower
+    /// knows. The answer is empty, which the follower takes for a failure, if the source isn't `current`.
     static Json answer(const ReplicaJournal &journal, const Json &body, bool current, bool registryUnstable);
 
 private:
