Let the number of concurrent weight loads follow the size of the fleet

Cause: at most three replicas loaded at a time on any fleet. Ruled out: slots (30 in 100 are enough for the load by the sheet's figures). Change: one in five replicas of a service loads at a time, and one more. The sheets of all deployments state that share. On 9 and 11 replicas the number stays three. Test: a fleet simulated with the stated load times; 62 replicas failed it before.

--- a/src/control/weightplan.cpp
+++ b/src/control/weightplan.cpp
@@ -163,9 +163,11 @@
     for (const auto &[id, load] : loads_) {
         ++loadingByModel[load.order.model];
     }
+    const auto share = static_cast<std::size_t>(settings_.replicasPerConcurrentLoad);
+    const std::size_t maxConcurrentLoads = (replicas.size() + share / 2) / share + 1;
     std::vector<WeightOrder> orders;
     for (const Candidate &candidate : candidates) {
-        if (static_cast<int>(loads_.size()) >= settings_.maxConcurrentLoads) {
+        if (loads_.size() >= maxConcurrentLoads) {
             break;
         }
         const serving::ReplicaEntry &entry = candidate.replica->entry;
--- a/src/control/weightplan.h
+++ b/src/control/weightplan.h
@@ -21,7 +21,10 @@
 
 struct WeightPlanSettings
 {
-    int maxConcurrentLoads = 3; ///< One more than can load at full speed: the end of a load is noticed late.
+    /// One in this many replicas of a service may load at a time, rounded, and one more, since the end of a load is
+    /// noticed late. Beyond about that share loads slow down: the deployments state 2 of 9 and of 11 replicas, 7 of 35,
+    /// 10 of 48 and 12 of 62.
+    int replicasPerConcurrentLoad = 5;
     /// Time from the publication of a version to its load at replicas that are one version behind. Most items of a step
     /// are done by then.
     absl::Duration loadDelay = absl::Milliseconds(1500);
--- a/tests/control/plantest.cpp
+++ b/tests/control/plantest.cpp
@@ -123,6 +123,53 @@
     CHECK(orders[0].expectedOrdersAccepted == 0);
 }
 
+// Guards against a fleet whose replicas fall versions behind because few of them may load at a time: a training step
+// then has only those replicas that are at most one version behind. Each model gets a version every 8 s: the results of
+// a step are due after 7.5 s, and training takes 0.5 s. A load takes 0.9 s, longer while more than one in five replicas
+// load.
+TEST_CASE("every replica of a large fleet follows the versions that are published for its model")
+{
+    for (const int count : {9, 11, 35, 48, 62}) {
+        CAPTURE(count);
+        constexpr double VersionPeriod = 8;
+        constexpr double LoadTime = 0.9;
+        constexpr double Step = 0.1;
+        const std::vector<std::string> models{"m0", "m1"};
+        WeightPlan plan;
+        auto list = replicas(count, models);
+        std::map<std::string, std::pair<WeightOrder, double>> remaining; // Work left of each load, by replica.
+        plan.assign(pointers(list), models);
+        std::uint64_t version = 1;
+        double published = -VersionPeriod;
+        for (double now = 0; now < 60; now += Step) {
+            if (now - published >= VersionPeriod) {
+                for (const serving::Replica &replica : list) {
+                    CAPTURE(now, replica.entry.id);
+                    const std::string &model = plan.modelByReplica().at(replica.entry.id);
+                    CHECK(replica.entry.weightVersions.at(model) == version);
+                }
+                published = now;
+                ++version;
+                for (const std::string &model : models) {
+                    plan.onVersionPublished(model, version, at(now));
+                }
+            }
+            const double speed = std::min(1.0, std::max(2.0, count / 5.0) / static_cast<double>(remaining.size() + 1));
+            for (serving::Replica &replica : list) {
+                const auto load = remaining.find(replica.entry.id);
+                if (load != remaining.end() && (load->second.second -= Step * speed) <= 0) {
+                    replica.entry.weightVersions[load->second.first.model] = load->second.first.version;
+                    remaining.erase(load);
+                }
+            }
+            for (const WeightOrder &order : plan.dueOrders(pointers(list), SwapMode::Truncate, at(now))) {
+                plan.onReply(order, OrderReply::Started, at(now));
+                remaining[order.replica] = {order, LoadTime};
+            }
+        }
+    }
+}
+
 // Property: whatever the replies to orders are, all loads end and every replica has the latest version of its model.
 TEST_CASE("all loads end under random replies")
 {
