Run the jobs of a model at one node with much processor time

Cause: each job ran at the node that its trainer had asked, on the large site mostly one with 0.12 of a core. A step's burst makes 4,900 events a second. Change: chooseJobHost names one node for each model, and submissions are forwarded there; on failure the asked node submits the job itself, and an unclear outcome is never answered 503. Takeovers prefer the same class of nodes. Only nodes that have run jobs are asked for texts. A write of items that is refused after an unclear forwarding is answered as unknown.

--- a/src/jobs/job.cpp
+++ b/src/jobs/job.cpp
@@ -227,15 +227,26 @@
         {"model", spec.model}, {"step", spec.step}, {"min_version", spec.minVersion}, {"desired", spec.desiredGroups}};
 }
 
-bool readJobHeader(const Json &value, JobSpec &spec)
+bool readJobPart(const Json &value, JobSpec &spec)
 {
-    if (!value.is_object() || !value.contains("model")) {
+    if (!value.is_object() || !value.contains("head") || !value.contains("items")) {
         return false;
     }
-    spec.model = fieldOr<std::string>(value, "model", "");
-    spec.step = fieldOr<std::uint64_t>(value, "step", 0);
-    spec.minVersion = fieldOr<std::uint64_t>(value, "min_version", 0);
-    spec.desiredGroups = fieldOr<std::uint64_t>(value, "desired", 0);
+    const Json &head = value["head"];
+    if (!head.is_object() || !head.contains("model")) {
+        return false;
+    }
+    spec.model = fieldOr<std::string>(head, "model", "");
+    spec.step = fieldOr<std::uint64_t>(head, "step", 0);
+    spec.minVersion = fieldOr<std::uint64_t>(head, "min_version", 0);
+    spec.desiredGroups = fieldOr<std::uint64_t>(head, "desired", 0);
+    for (const Json &entry : value["items"]) {
+        auto item = parseItemSpec(entry);
+        if (!item) {
+            return false;
+        }
+        spec.items.push_back(std::move(*item));
+    }
     return true;
 }
 
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -152,8 +152,9 @@
 
 /// Fields of the job that are stored with each object of its items.
 Json jobHeaderToJson(const JobSpec &spec);
-/// Fills in the fields that jobHeaderToJson() wrote. Returns false if they can't be read.
-bool readJobHeader(const Json &value, JobSpec &spec);
+/// Reads an object with the header ("head") and some items of a job, and appends the items. Returns false if it can't
+/// be read.
+bool readJobPart(const Json &value, JobSpec &spec);
 
 } // namespace currantlug::jobs
 
--- a/src/jobs/jobcontext.h
+++ b/src/jobs/jobcontext.h
@@ -3,6 +3,7 @@
 #define CURRANTLUG_JOBS_JOBCONTEXT_H
 
 #include "jobs/job.h"
+#include "jobs/jobplacement.h"
 #include "net/eventloop.h"
 #include "objects/objectport.h"
 #include "serving/gatewayconfig.h"
@@ -34,10 +35,18 @@
     std::function<bool()> allInContact;
     /// Names of the peers in contact, including those that are stopping.
     std::function<std::vector<std::string>()> reachable;
+    /// Those of the reachable peers that may have texts of items.
+    std::function<std::vector<std::string>()> textHolders;
+    /// The peers of live(), with what decides which of them runs a job.
+    std::function<std::vector<JobHost>()> jobHosts;
 };
 
 struct JobSettings
 {
+    double processorShare = 0; ///< Processor time of this node, in cores; 0 if it isn't known.
+    /// Limit for a peer's answer to a submission that was forwarded to it, several store calls. Past it this node
+    /// submits the job itself.
+    absl::Duration forwardTimeout = absl::Seconds(1);
     /// A finished item waits at most this long for the rest of its group before its result is stored.
     absl::Duration flushDelay = absl::Milliseconds(400);
     absl::Duration minFlushInterval = absl::Milliseconds(100); ///< Between two writes of results of one job.
--- a/src/jobs/jobreading.cpp
+++ b/src/jobs/jobreading.cpp
@@ -261,17 +261,7 @@
                 done(false, {});
                 return;
             }
-            const Json &value = reply.changes.front().object.value;
-            bool readable = value.is_object() && value.contains("head") && value.contains("items")
-                && readJobHeader(value["head"], *spec);
-            for (const Json &entry : readable ? value["items"] : Json::array()) {
-                auto item = parseItemSpec(entry);
-                readable = readable && item.has_value();
-                if (item) {
-                    spec->items.push_back(std::move(*item));
-                }
-            }
-            if (!readable) {
+            if (!readJobPart(reply.changes.front().object.value, *spec)) {
                 telemetry::log(Level::Error, "job", "items_unreadable", {{"job", record.id}, {"part", part}});
                 done(false, {});
                 return;
--- a/src/jobs/jobrunner.cpp
+++ b/src/jobs/jobrunner.cpp
@@ -16,8 +16,8 @@
 constexpr double EventGapSmoothing = 0.15; // Weight of the newest gap.
 // Longer gaps are pauses, such as loading weights, and say nothing about the replica's speed.
 constexpr absl::Duration MaxMeasuredGap = absl::Milliseconds(500);
-// An item is moved off a replica whose event gap exceeds the best replica's by this factor. Long items are moved by the
-// smaller factor, since a training step waits for them and a move costs about the time of one event.
+// An item is moved off a replica whose event gap exceeds that of the fast replicas by this factor. Long items are moved
+// by the smaller factor, since a training step waits for them and a move costs about the time of one event.
 constexpr double SlowReplicaFactor = 1.8;
 constexpr double LongAttemptFactor = 1.2;
 constexpr std::size_t LongAttemptEvents = 30;
@@ -374,6 +374,12 @@
     const Instant now = net::loopNow();
     const serving::Route *route = this->route();
     const bool expired = route != nullptr && timeLeft(*route, now) < absl::ZeroDuration();
+    const bool requiresSingleVersion = singleVersion();
+    serving::ReplicaTable::ItemRequirements need;
+    need.model = spec_.model;
+    need.minVersion = spec_.minVersion;
+    absl::Duration fastGap; // Event gap of the fast replicas for `need`.
+    bool fastGapUnknown = true;
     for (std::size_t index = 0; index < tracker_.items().size(); ++index) {
         Item &item = tracker_.items()[index];
         const bool open =
@@ -402,16 +408,15 @@
             || now - item.startedAt < context_.settings.minTimeBeforeMove) {
             continue;
         }
-        serving::ReplicaTable::ItemRequirements need;
-        need.service = replica->entry.service;
-        need.model = spec_.model;
-        need.minVersion = spec_.minVersion;
-        if (route != nullptr && route->singleVersion && !item.text.empty()) {
-            need.exactVersion = item.text.versions.front();
+        // Items of a single version differ in the replicas that they may use.
+        if (fastGapUnknown || requiresSingleVersion || need.service != replica->entry.service) {
+            need.service = replica->entry.service;
+            need.exactVersion = requiresSingleVersion && !item.text.empty() ? item.text.versions.front() : 0;
+            fastGap = context_.replicas.fastEventGap(need);
+            fastGapUnknown = false;
         }
-        const absl::Duration best = context_.replicas.shortestEventGap(need);
         const double factor = item.text.events.size() >= LongAttemptEvents ? LongAttemptFactor : SlowReplicaFactor;
-        if (best == absl::ZeroDuration() || replica->eventGap <= best * factor) {
+        if (fastGap == absl::ZeroDuration() || replica->eventGap <= fastGap * factor) {
             continue;
         }
         const serving::Replica *other = context_.replicas.chooseForItem(need, {item.replica}, now);
--- a/src/jobs/jobservice.cpp
+++ b/src/jobs/jobservice.cpp
@@ -60,6 +60,11 @@
 // Submissions
 
 void JobService::submit(JobSpec spec, std::function<void(SubmitOutcome)> done)
+{
+    submitAt(SubmitAt::BestNode, std::move(spec), std::move(done));
+}
+
+void JobService::submitAt(SubmitAt place, JobSpec spec, std::function<void(SubmitOutcome)> done)
 {
     if (const auto owned = owned_.find(spec.id); owned != owned_.end()) {
         done(resubmissionOutcome(spec, owned->second->record));
@@ -90,6 +95,89 @@
     record.submission = randomHex(8);
     record.submittedMs = absl::ToUnixMillis(absl::Now());
     record.total = spec.items.size();
+    submission->spec = std::move(spec);
+    submissions_[record.id] = submission;
+    if (place == SubmitAt::ThisNode || !forward(submission)) {
+        submitHere(submission);
+    }
+}
+
+std::vector<JobHost> JobService::jobHosts() const
+{
+    std::vector<JobHost> hosts = context_.peers.jobHosts();
+    hosts.push_back({context_.node, context_.settings.processorShare});
+    return hosts;
+}
+
+bool JobService::forward(const std::shared_ptr<Submission> &submission)
+{
+    std::vector<std::string> models;
+    if (const serving::GatewayConfig *config = context_.config()) {
+        for (const auto &[name, service] : config->services) {
+            models.insert(models.end(), service.models.begin(), service.models.end());
+        }
+    }
+    const std::string host = chooseJobHost(submission->spec.model, std::move(models), jobHosts());
+    if (host == context_.node) {
+        return false;
+    }
+    const JobSpec &spec = submission->spec;
+    Json items = Json::array();
+    for (const ItemSpec &item : spec.items) {
+        items.push_back(toJson(item));
+    }
+    const Json body{{"job", spec.id},    {"workspace", spec.workspace},   {"host", spec.host},
+                    {"path", spec.path}, {"head", jobHeaderToJson(spec)}, {"items", std::move(items)}};
+    context_.peers.call(
+        host, SubmitMethod, body, context_.settings.forwardTimeout,
+        [this, submission, host](const absl::StatusOr<Json> &reply) { onForwardReply(submission, host, reply); });
+    return true;
+}
+
+void JobService::onForwardReply(const std::shared_ptr<Submission> &submission, const std::string &host,
+                                const absl::StatusOr<Json> &reply)
+{
+    const std::string outcome = reply.ok() ? fieldOr<std::string>(*reply, "outcome", "unreadable answer") : "";
+    if (outcome == nameOf(SubmitOutcome::Accepted)) {
+        finishSubmission(submission, SubmitOutcome::Accepted);
+        return;
+    }
+    telemetry::log(Level::Warning, "job", "not_forwarded",
+                   {{"job", submission->record.id},
+                    {"node", host},
+                    {"reason", reply.ok() ? outcome : describeError(reply.status())}});
+    // Unless the peer has refused or was not reached, it may still create the record.
+    const bool notRun = reply.ok() ? outcome == nameOf(SubmitOutcome::Refused)
+                                   : errorContext(reply.status()).outcome == Outcome::NotRun;
+    submission->recordMayExist = !notRun;
+    if (released_) {
+        finishSubmission(submission, notRun ? SubmitOutcome::Refused : SubmitOutcome::Unknown);
+    } else {
+        submitHere(submission);
+    }
+}
+
+void JobService::handleForwarded(const Json &body, std::function<void(Json)> reply)
+{
+    JobSpec spec;
+    spec.id = fieldOr<std::string>(body, "job", "");
+    spec.workspace = fieldOr<std::string>(body, "workspace", "");
+    spec.host = fieldOr<std::string>(body, "host", "");
+    spec.path = fieldOr<std::string>(body, "path", "");
+    if (spec.id.empty() || !readJobPart(body, spec)) {
+        telemetry::log(Level::Error, "job", "forwarded_unreadable", {{"job", spec.id}});
+        reply({{"outcome", nameOf(SubmitOutcome::Refused)}});
+        return;
+    }
+    submitAt(SubmitAt::ThisNode, std::move(spec), [reply = std::move(reply)](SubmitOutcome outcome) {
+        reply({{"outcome", nameOf(outcome)}});
+    });
+}
+
+void JobService::submitHere(const std::shared_ptr<Submission> &submission)
+{
+    JobRecord &record = submission->record;
+    const JobSpec &spec = submission->spec;
     Json items = Json::array();
     std::size_t bytes = 0;
     const auto finishPart = [&] {
@@ -108,9 +196,7 @@
         finishPart();
     }
     record.parts = submission->parts.size();
-    submission->spec = std::move(spec);
-    submissions_[record.id] = submission;
-    const Json ids = itemIds(submission->spec);
+    const Json ids = itemIds(spec);
     submission->texts.push_back(textsFor(ids));
     requestTexts(
         ids,
@@ -131,21 +217,22 @@
         writeRecord(submission);
         return;
     }
-    context_.store.create(PartKind, partName(submission->record.id, part), submission->parts[part],
-                          [this, submission, part](const StoreReply &reply) {
-                              // A repeated submission writes the same items, so an existing part can be used.
-                              if (reply.outcome == StoreOutcome::Done || reply.outcome == StoreOutcome::Conflict) {
-                                  writePart(submission, part + 1);
-                                  return;
-                              }
-                              if (reply.outcome == StoreOutcome::Unknown
-                                  && net::loopNow() - submission->startedAt < context_.settings.submitTimeout) {
-                                  net::runAfter(context_.loop, context_.settings.storeRetryDelay,
-                                                [this, submission, part] { writePart(submission, part); });
-                                  return;
-                              }
-                              finishSubmission(submission, SubmitOutcome::Refused);
-                          });
+    context_.store.create(
+        PartKind, partName(submission->record.id, part), submission->parts[part],
+        [this, submission, part](const StoreReply &reply) {
+            // A repeated submission writes the same items, so an existing part can be used.
+            if (reply.outcome == StoreOutcome::Done || reply.outcome == StoreOutcome::Conflict) {
+                writePart(submission, part + 1);
+                return;
+            }
+            if (reply.outcome == StoreOutcome::Unknown
+                && net::loopNow() - submission->startedAt < context_.settings.submitTimeout) {
+                net::runAfter(context_.loop, context_.settings.storeRetryDelay,
+                              [this, submission, part] { writePart(submission, part); });
+                return;
+            }
+            finishSubmission(submission, submission->recordMayExist ? SubmitOutcome::Unknown : SubmitOutcome::Refused);
+        });
 }
 
 void JobService::writeRecord(const std::shared_ptr<Submission> &submission)
@@ -306,7 +393,7 @@
                               const std::function<void()> &onAll)
 {
     // A node that is stopping has the texts of the jobs that it released.
-    const std::vector<std::string> nodes = context_.peers.reachable();
+    const std::vector<std::string> nodes = context_.peers.textHolders();
     if (nodes.empty()) {
         onAll();
         return;
--- a/src/jobs/jobservice.h
+++ b/src/jobs/jobservice.h
@@ -53,6 +53,7 @@
 public:
     explicit JobService(JobContext context);
 
+    /// Accepts a job here, or at the node that chooseJobHost() names.
     void submit(JobSpec spec, std::function<void(SubmitOutcome)> done);
     using PageCallback = std::function<void(ReadOutcome, ResultPage)>;
     /// Reads results from position `after` on; waits up to `wait` for the first one.
@@ -79,10 +80,17 @@
     /// Stops running items and refuses new submissions, so that other nodes can take the jobs over.
     void releaseJobs();
     std::size_t openJobCount() const;
+    /// True if this node may have texts of the items of earlier jobs.
+    bool holdsTexts() const { return !owned_.empty() || !formerlyOwned_.empty(); }
     /// Number of items of the open jobs by state.
     std::map<ItemState, std::size_t> itemCounts() const;
 
 private:
+    /// Where a submission may be carried out.
+    enum class SubmitAt {
+        BestNode, ///< At the node that runs the jobs of the model.
+        ThisNode,
+    };
     struct Submission;
     struct EndRequest;
     struct PendingRead
@@ -113,6 +121,13 @@
         Instant expiresAt;
     };
 
+    void submitAt(SubmitAt place, JobSpec spec, std::function<void(SubmitOutcome)> done);
+    /// Has the node that runs the jobs of the model submit the job. Returns false if that is this node.
+    bool forward(const std::shared_ptr<Submission> &submission);
+    void onForwardReply(const std::shared_ptr<Submission> &submission, const std::string &host,
+                        const absl::StatusOr<Json> &reply);
+    void submitHere(const std::shared_ptr<Submission> &submission);
+    void handleForwarded(const Json &body, std::function<void(Json)> reply);
     void writePart(const std::shared_ptr<Submission> &submission, std::uint64_t part);
     void writeRecord(const std::shared_ptr<Submission> &submission);
     void onRecordReply(const std::shared_ptr<Submission> &submission, const objects::StoreReply &reply);
@@ -152,8 +167,9 @@
     void notifyAllOfEnd(const std::string &jobId);
     void notifyOfEnd(const std::string &node, const std::string &jobId, int triesLeft);
     void onOrphanScanReply(objects::StoreReply reply);
-    /// Node that takes over the jobs of a lost owner, by the view of this node.
-    std::string successorOf(const std::string &owner) const;
+    /// Nodes that may take over the jobs of a lost owner, best first, by the view of this node. Not empty.
+    std::vector<std::string> successorsOf(const std::string &owner) const;
+    std::vector<JobHost> jobHosts() const; ///< This node and its live peers.
     void takeOver(const JobRecord &record, std::uint64_t revision);
     void removeExpired(Instant now);
     Instant expiryTime(std::int64_t submittedMs) const;
--- a/src/jobs/jobservicenames.h
+++ b/src/jobs/jobservicenames.h
@@ -12,6 +12,7 @@
 
 inline constexpr const char *RecordKind = "jobs";
 inline constexpr const char *PartKind = "job-items";
+inline constexpr const char *SubmitMethod = "job/submit";
 inline constexpr const char *ReadMethod = "job/read";
 inline constexpr const char *BodyMethod = "job/body";
 inline constexpr const char *EndMethod = "job/end";
--- a/src/jobs/jobtakeover.cpp
+++ b/src/jobs/jobtakeover.cpp
@@ -188,6 +188,8 @@
                              [reply = std::move(reply)](ReadOutcome outcome, const std::string &bytes) {
                                  reply({{"found", outcome == ReadOutcome::Found}, {"body", bytes}});
                              });
+    } else if (method == SubmitMethod) {
+        handleForwarded(body, std::move(reply));
     } else if (method == EndMethod) {
         if (!ownedHere) {
             reply({{"ended", false}});
@@ -216,25 +218,16 @@
 
 // Takeovers
 
-std::string JobService::successorOf(const std::string &owner) const
+std::vector<std::string> JobService::successorsOf(const std::string &owner) const
 {
-    std::string successor = context_.node;
-    for (const std::string &node : context_.peers.live()) {
-        if (rendezvousWeight(owner, node) > rendezvousWeight(owner, successor)) {
-            successor = node;
-        }
-    }
-    return successor;
+    return jobs::successorsOf(owner, jobHosts());
 }
 
 void JobService::onNodeLost(const std::string &node)
 {
-    std::size_t rank = 0;
-    for (const std::string &other : context_.peers.live()) {
-        if (rendezvousWeight(node, other) > rendezvousWeight(node, context_.node)) {
-            ++rank;
-        }
-    }
+    const std::vector<std::string> successors = successorsOf(node);
+    const auto rank =
+        static_cast<std::size_t>(std::find(successors.begin(), successors.end(), context_.node) - successors.begin());
     for (std::size_t index = rank; index < ScanDelays.size(); ++index) {
         net::runAfter(context_.loop, ScanDelays[index], [this] { scanOrphanedJobs(); });
     }
@@ -277,7 +270,7 @@
             takeOver(*record, change.object.revision);
             continue;
         }
-        const std::string successor = successorOf(record->owner);
+        const std::string successor = successorsOf(record->owner).front();
         const Instant since = orphanedSince_.emplace(record->id, now).first->second;
         if (successor == context_.node || now - since >= SuccessorTime) {
             orphanedSince_.erase(record->id);
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -121,8 +121,11 @@
         [this](const std::string &node, const std::string &incarnation) { return mesh_.isAlive(node, incarnation); },
         [this](const std::string &node, const std::string &incarnation) { return mesh_.isLost(node, incarnation); },
         [this] { return mesh_.allInContact(); },
-        [this] { return mesh_.reachable(); }};
+        [this] { return mesh_.reachable(); },
+        [this] { return mesh_.textHolders(); },
+        [this] { return mesh_.jobHosts(); }};
     jobs::JobSettings jobSettings;
+    jobSettings.processorShare = settings_.processorShare;
     jobSettings.retention = settings_.jobRetention;
     jobs_ = std::make_unique<jobs::JobService>(jobs::JobContext{
         loop, replicas_, binding_.replicas, relayedStore_.port(), peers, config,
@@ -253,6 +256,8 @@
     info.storeReached = storeReached();
     info.leading = controller_ != nullptr && controller_->leading();
     info.configRevision = config_ ? config_->revision : 0;
+    info.processorShare = settings_.processorShare;
+    info.holdsTexts = jobs_ != nullptr && jobs_->holdsTexts();
     return info;
 }
 
--- a/src/node/nodesettings.h
+++ b/src/node/nodesettings.h
@@ -23,6 +23,7 @@
     std::string controlAddress;
     std::string metricsAddress; ///< Metrics aren't served if empty.
     std::string address; ///< IP address of the machine; may be empty.
+    double processorShare = 1; ///< Processor time that the node may use, in cores.
     std::vector<std::string> seeds; ///< Control addresses of some peers for the first contact. They may be down.
     std::string storeAddress; ///< Address of the object store.
     std::string dutyAddress; ///< Address that receives replica scaling orders and usage reports.
--- a/src/node/peermesh.cpp
+++ b/src/node/peermesh.cpp
@@ -33,7 +33,9 @@
             {"ready", info.ready},
             {"store", info.storeReached},
             {"leading", info.leading},
-            {"config", info.configRevision}};
+            {"config", info.configRevision},
+            {"processor", info.processorShare},
+            {"texts", info.holdsTexts}};
 }
 
 std::optional<NodeInfo> parseNodeInfo(const Json &value)
@@ -50,6 +52,8 @@
     info.storeReached = fieldOr<bool>(value, "store", false);
     info.leading = fieldOr<bool>(value, "leading", false);
     info.configRevision = fieldOr<std::uint64_t>(value, "config", 0);
+    info.processorShare = fieldOr<double>(value, "processor", 0);
+    info.holdsTexts = fieldOr<bool>(value, "texts", true);
     if (info.name.empty() || info.control.empty()) {
         return std::nullopt;
     }
@@ -317,6 +321,28 @@
     return names;
 }
 
+std::vector<std::string> PeerMesh::textHolders() const
+{
+    std::vector<std::string> names;
+    for (const NodeInfo &info : contacts()) {
+        if (info.holdsTexts) {
+            names.push_back(info.name);
+        }
+    }
+    return names;
+}
+
+std::vector<jobs::JobHost> PeerMesh::jobHosts() const
+{
+    std::vector<jobs::JobHost> hosts;
+    for (const NodeInfo &info : contacts()) {
+        if (!info.stopping) {
+            hosts.push_back({info.name, info.processorShare, info.ready && info.storeReached});
+        }
+    }
+    return hosts;
+}
+
 std::vector<NodeInfo> PeerMesh::contacts() const
 {
     std::vector<NodeInfo> infos;
--- a/src/node/peermesh.h
+++ b/src/node/peermesh.h
@@ -35,6 +35,8 @@
     bool storeReached = false; ///< The object store answers the calls of this node.
     bool leading = false; ///< The node holds the controller lease.
     std::uint64_t configRevision = 0;
+    double processorShare = 0; ///< Processor time of the node, in cores; 0 if it doesn't say.
+    bool holdsTexts = true; ///< The node may have texts of items; true if it doesn't say.
 };
 
 Json toJson(const NodeInfo &info);
@@ -81,6 +83,10 @@
     std::vector<std::string> live() const;
     /// Names of the peers in contact, including those that are stopping.
     std::vector<std::string> reachable() const;
+    /// Those of the reachable peers that may have texts of items.
+    std::vector<std::string> textHolders() const;
+    /// The peers of live(), with what decides which of them runs a job.
+    std::vector<jobs::JobHost> jobHosts() const;
     /// Peers in contact, including those that are stopping.
     std::vector<NodeInfo> contacts() const;
     /// True if that incarnation of the node is in contact and isn't stopping.
--- a/src/serving/replicatable.cpp
+++ b/src/serving/replicatable.cpp
@@ -9,19 +9,19 @@
 
 namespace {
 
-// Event gaps relative to the shortest one. Up to the first factor replicas count as equally fast, since the measurement
-// is noisy. Above the second factor a replica is considered faulty.
+// Event gaps relative to that of the fast replicas. Up to the first factor replicas count as equally fast, since the
+// measurement is noisy. Above the second factor a replica is considered faulty.
 constexpr double EqualGapFactor = 1.15;
 constexpr double SlowGapFactor = 1.8;
 // One in this many slots of a replica is kept free of background calls.
 constexpr int ReservedSlotsDivisor = 3;
 
-int slownessRank(absl::Duration gap, absl::Duration best)
+int slownessRank(absl::Duration gap, absl::Duration fastGap)
 {
-    if (best == absl::ZeroDuration() || gap <= best * EqualGapFactor) {
+    if (fastGap == absl::ZeroDuration() || gap <= fastGap * EqualGapFactor) {
         return 0;
     }
-    return gap <= best * SlowGapFactor ? 1 : 2;
+    return gap <= fastGap * SlowGapFactor ? 1 : 2;
 }
 
 } // namespace
@@ -145,7 +145,7 @@
 Replica *ReplicaTable::chooseForItem(const ItemRequirements &requirements, const std::set<std::string> &excluded,
                                      Instant now)
 {
-    const absl::Duration shortestGap = shortestEventGap(requirements);
+    const absl::Duration fastGap = fastEventGap(requirements);
     Replica *best = nullptr;
     std::tuple<int, bool, bool, bool, int, int> bestRank;
     for (auto &[id, replica] : replicas_) {
@@ -160,7 +160,7 @@
         }
         // The preferred replica is chosen over less loaded ones until more than half of its slots are taken.
         const bool notPreferred = id != requirements.preferred || replica.inFlight * 2 > replica.entry.slots;
-        const std::tuple<int, bool, bool, bool, int, int> rank{slownessRank(replica.eventGap, shortestGap),
+        const std::tuple<int, bool, bool, bool, int, int> rank{slownessRank(replica.eventGap, fastGap),
                                                                !planned,
                                                                replica.entry.spot,
                                                                notPreferred,
@@ -174,16 +174,20 @@
     return best;
 }
 
-absl::Duration ReplicaTable::shortestEventGap(const ItemRequirements &requirements) const
+absl::Duration ReplicaTable::fastEventGap(const ItemRequirements &requirements) const
 {
-    absl::Duration best;
+    std::vector<absl::Duration> gaps;
     for (const auto &[id, replica] : replicas_) {
-        if (canRun(replica, requirements) && replica.eventGap > absl::ZeroDuration()
-            && (best == absl::ZeroDuration() || replica.eventGap < best)) {
-            best = replica.eventGap;
+        if (replica.eventGap > absl::ZeroDuration() && canRun(replica, requirements)) {
+            gaps.push_back(replica.eventGap);
         }
     }
-    return best;
+    if (gaps.empty()) {
+        return absl::ZeroDuration();
+    }
+    const auto quartile = gaps.begin() + static_cast<std::ptrdiff_t>((gaps.size() - 1) / 4);
+    std::nth_element(gaps.begin(), quartile, gaps.end());
+    return *quartile;
 }
 
 void ReplicaTable::recordLoad(Replica &replica, const std::optional<ReplicaLoad> &load, Instant now)
--- a/src/serving/replicatable.h
+++ b/src/serving/replicatable.h
@@ -72,8 +72,9 @@
     };
     /// Returns the best replica with a free slot for an item of a job; null if there is none.
     Replica *chooseForItem(const ItemRequirements &requirements, const std::set<std::string> &excluded, Instant now);
-    /// Shortest event gap among the replicas that meet the requirements; zero if none is known.
-    absl::Duration shortestEventGap(const ItemRequirements &requirements) const;
+    /// Event gap of the fast replicas among those that meet the requirements: the lower quartile, since the shortest of
+    /// many noisy measurements is far below what any replica keeps up. Zero if no gap is known.
+    absl::Duration fastEventGap(const ItemRequirements &requirements) const;
 
     /// Records the load that the replica reported with a response.
     static void recordLoad(Replica &replica, const std::optional<ReplicaLoad> &load, Instant now);
--- a/tests/control/plantest.cpp
+++ b/tests/control/plantest.cpp
@@ -154,7 +154,8 @@
                     plan.onVersionPublished(model, version, at(now));
                 }
             }
-            const double speed = std::min(1.0, std::max(2.0, count / 5.0) / static_cast<double>(remaining.size() + 1));
+            const double loads = std::max<double>(1, static_cast<double>(remaining.size()));
+            const double speed = std::min(1.0, std::max(2.0, count / 5.0) / loads);
             for (serving::Replica &replica : list) {
                 const auto load = remaining.find(replica.entry.id);
                 if (load != remaining.end() && (load->second.second -= Step * speed) <= 0) {
--- a/tests/jobs/jobcluster.h
+++ b/tests/jobs/jobcluster.h
@@ -17,9 +17,10 @@
 class JobCluster
 {
 public:
-    explicit JobCluster(const std::vector<std::string> &names)
+    explicit JobCluster(const std::vector<std::string> &names, std::map<std::string, double> shares = {})
         : store(loop)
         , replicas(loop)
+        , processorShares(std::move(shares))
     {
         config.routes.push_back({});
         serving::Route &route = config.routes.back();
@@ -87,15 +88,24 @@
                     || found->second.incarnation != incarnation || !reachable(name, node);
             },
             [this] { return partitions.empty(); },
+            reachableFrom(name),
+            reachableFrom(name),
             [this, name] {
-                std::vector<std::string> nodes;
+                std::vector<jobs::JobHost> hosts;
                 for (const auto &[other, peer] : members_) {
-                    if (other != name && peer.service != nullptr && reachable(name, other)) {
-                        nodes.push_back(other);
+                    if (other != name && peer.service != nullptr && !peer.stopping && reachable(name, other)) {
+                        const auto share = processorShares.find(other);
+                        const bool stated = share != processorShares.end();
+                        hosts.push_back(
+                            {other, stated ? share->second : 0, stated && !storeOutOfReach.contains(other)});
                     }
                 }
-                return nodes;
+                return hosts;
             }};
+        jobs::JobSettings settings = this->settings;
+        if (const auto share = processorShares.find(name); share != processorShares.end()) {
+            settings.processorShare = share->second;
+        }
         member.stopping = false;
         member.service = std::make_unique<jobs::JobService>(
             jobs::JobContext{loop, *member.table, replicas.port(), storeFor(name), peers, [this] { return &config; },
@@ -194,8 +204,12 @@
     FakeReplicas replicas;
     serving::GatewayConfig config;
     jobs::JobSettings settings;
+    /// Processor shares that the nodes state, by node. A node without one is sent no jobs by its peers.
+    std::map<std::string, double> processorShares;
     static constexpr int deskSlots = 6; ///< Of each of the two replicas that score texts.
     std::set<std::string> storeOutOfReach; ///< Nodes whose calls the store refuses.
+    std::set<std::string> losePeerCalls; ///< Nodes to which calls are lost, although they count as live.
+    std::set<std::string> losePeerReplies; ///< Nodes whose replies to calls are lost.
     std::set<std::pair<std::string, std::string>> partitions; ///< Pairs of nodes that can't reach each other.
 
 private:
@@ -207,6 +221,19 @@
         std::unique_ptr<jobs::JobService> service;
     };
 
+    std::function<std::vector<std::string>()> reachableFrom(const std::string &name)
+    {
+        return [this, name] {
+            std::vector<std::string> nodes;
+            for (const auto &[other, peer] : members_) {
+                if (other != name && peer.service != nullptr && reachable(name, other)) {
+                    nodes.push_back(other);
+                }
+            }
+            return nodes;
+        };
+    }
+
     objects::ObjectPort storeFor(const std::string &name)
     {
         objects::ObjectPort port = store.port();
@@ -232,6 +259,11 @@
                 inner.get(std::move(kind), std::move(object), std::move(done));
             }
         };
+        port.create = [inner, refused](std::string kind, std::string object, Json value, objects::StoreCallback done) {
+            if (!refused(done)) {
+                inner.create(std::move(kind), std::move(object), std::move(value), std::move(done));
+            }
+        };
         port.replace = [inner, refused](std::string kind, std::string object, std::uint64_t revision, Json value,
                                         objects::StoreCallback done) {
             if (!refused(done)) {
@@ -245,14 +277,22 @@
               jobs::PeerPort::Callback done)
     {
         const auto found = members_.find(to);
-        if (found == members_.end() || found->second.service == nullptr || !reachable(from, to)) {
+        if (found == members_.end() || found->second.service == nullptr || !reachable(from, to)
+            || losePeerCalls.contains(to)) {
             net::runAfter(loop, absl::Milliseconds(5),
                           [done = std::move(done)] { done(absl::UnavailableError("unreachable")); });
             return;
         }
-        found->second.service->handlePeerCall(method, body, [this, done = std::move(done)](const Json &reply) {
-            net::runAfter(loop, absl::Milliseconds(1), [done, reply] { done(reply); });
-        });
+        const bool loseReply = losePeerReplies.contains(to);
+        found->second.service->handlePeerCall(
+            method, body, [this, loseReply, done = std::move(done)](const Json &reply) {
+                if (loseReply) {
+                    net::runAfter(loop, absl::Milliseconds(20),
+                                  [done] { done(absl::DeadlineExceededError("no answer in time")); });
+                    return;
+                }
+                net::runAfter(loop, absl::Milliseconds(1), [done, reply] { done(reply); });
+            });
     }
 
     void tick()
