Make fewer store calls in a quiet fleet, and prefer large nodes as leaders

All 165 nodes searched the store four times after their start. The first leader there was a node with 0.12 of a core. Change: watches wait 15 s; eight ranked nodes search after a start; nodes with more processor time are the first candidates.

--- a/src/jobs/jobservice.h
+++ b/src/jobs/jobservice.h
@@ -73,6 +73,9 @@
     void dispatchItems();
     /// Searches the store for orphaned jobs and takes over those that fall to this node. Call after this node started.
     void scanOrphanedJobs();
+    /// Call some time after this node started, at which it has contact to its peers: all nodes may have restarted, so
+    /// that none knows of a loss. Only a few ranked nodes search the store.
+    void scanAfterStart();
     /// Call after another node was lost, left or restarted. Only the nodes that come first in the ranking of its
     /// successors search for its jobs: a search by each node would make as many calls as there are nodes, for each node
     /// of a rolling restart.
--- a/src/jobs/jobtakeover.cpp
+++ b/src/jobs/jobtakeover.cpp
@@ -28,6 +28,10 @@
 // A job that its successor leaves for this time is taken over by any node that finds it: the views of the nodes differ,
 // or the successor runs an earlier build, which chooses otherwise.
 constexpr absl::Duration SuccessorTime = absl::Milliseconds(2400);
+// Ranks the nodes that search for orphaned jobs after a start. It must differ from all names of nodes.
+constexpr std::string_view StartScanKey = "/start";
+// Number of nodes that search after a start. Some of them may be cut off from the store.
+constexpr std::size_t StartScanners = 8;
 
 } // namespace
 
@@ -233,6 +237,15 @@
     }
 }
 
+void JobService::scanAfterStart()
+{
+    const std::vector<std::string> ranking = successorsOf(std::string(StartScanKey));
+    const auto last = ranking.begin() + static_cast<std::ptrdiff_t>(std::min(ranking.size(), StartScanners));
+    if (std::find(ranking.begin(), last, context_.node) != last) {
+        scanOrphanedJobs();
+    }
+}
+
 void JobService::scanOrphanedJobs()
 {
     if (scanning_ || released_) {
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -147,9 +147,13 @@
             return std::any_of(contacts.begin(), contacts.end(), [](const NodeInfo &node) { return node.leading; });
         },
         [this] {
+            // The leader asks all nodes and replicas, so that nodes with more processor time come first.
             const auto contacts = mesh_.contacts();
             return static_cast<int>(std::count_if(contacts.begin(), contacts.end(), [this](const NodeInfo &node) {
-                return node.name < settings_.name && !node.leading && !node.stopping && node.storeReached;
+                const bool precedes = node.processorShare == settings_.processorShare
+                    ? node.name < settings_.name
+                    : node.processorShare > settings_.processorShare;
+                return precedes && !node.leading && !node.stopping && node.storeReached;
             }));
         },
         [this] { return storeReached(); },
@@ -193,7 +197,7 @@
     net::runEvery(loop_, FastTickPeriod, [this] { fastTick(); });
     net::runEvery(loop_, SlowTickPeriod, [this] { slowTick(); });
     for (const absl::Duration delay : StartupScanDelays) {
-        net::runAfter(loop_, delay, [this] { jobs_->scanOrphanedJobs(); });
+        net::runAfter(loop_, delay, [this] { jobs_->scanAfterStart(); });
     }
 }
 
--- a/src/objects/objectmirror.h
+++ b/src/objects/objectmirror.h
@@ -14,7 +14,9 @@
 
 struct MirrorSettings
 {
-    absl::Duration watchWait = absl::Seconds(20); ///< Maximum duration of one watch call; the store allows 30 s.
+    /// Maximum duration of one watch call. The store keeps 20 s of history: a call that waits longer for a change ends
+    /// without the revision to continue from, and everything must be listed again.
+    absl::Duration watchWait = absl::Seconds(15);
     /// Maximum duration of a watch call after a failure. During a store outage a call may be accepted and never
     /// answered, so the first call after a failure must time out early.
     absl::Duration probeWatchWait = absl::Milliseconds(100);
