Load every second version on each replica, when its step has ended

A step may use the version before, so every second version is enough. Change: the half of a model's replicas that is two versions behind loads as soon as a version is named, when the step before has ended; the other half runs the new step. Replicas one behind load only until the halves have formed.

--- a/src/control/weightplan.cpp
+++ b/src/control/weightplan.cpp
@@ -163,6 +163,18 @@
     for (const auto &[id, load] : loads_) {
         ++loadingByModel[load.order.model];
     }
+    std::map<std::string, int> replicasByModel;
+    std::map<std::string, int> upToDateByModel; // Replicas that have, or will have, the newest version of their model.
+    for (const serving::Replica *replica : replicas) {
+        const auto model = modelByReplica_.find(replica->entry.id);
+        if (model == modelByReplica_.end()) {
+            continue;
+        }
+        ++replicasByModel[model->second];
+        if (loads_.contains(replica->entry.id) || versionOf(*replica, model->second) >= latestVersion(model->second)) {
+            ++upToDateByModel[model->second];
+        }
+    }
     const auto share = static_cast<std::size_t>(settings_.replicasPerConcurrentLoad);
     const std::size_t maxConcurrentLoads = (replicas.size() + share / 2) / share + 1;
     std::vector<WeightOrder> orders;
@@ -172,14 +184,13 @@
         }
         const serving::ReplicaEntry &entry = candidate.replica->entry;
         const std::string &model = modelByReplica_[entry.id];
-        const auto replicasOfModel =
-            std::count_if(modelByReplica_.begin(), modelByReplica_.end(),
-                          [&model](const auto &assignment) { return assignment.second == model; });
-        const int maxLoads = std::max(1, static_cast<int>(replicasOfModel) / settings_.replicasPerLoad);
-        if (candidate.versionsBehind == 1 && loadingByModel[model] >= maxLoads) {
+        const int maxLoads = std::max(1, replicasByModel[model] / settings_.replicasPerLoad);
+        const bool enoughUpToDate = upToDateByModel[model] * 2 >= replicasByModel[model];
+        if (candidate.versionsBehind == 1 && (enoughUpToDate || loadingByModel[model] >= maxLoads)) {
             continue;
         }
         ++loadingByModel[model];
+        ++upToDateByModel[model];
         WeightOrder order;
         order.replica = entry.id;
         order.model = modelByReplica_[entry.id];
--- a/src/control/weightplan.h
+++ b/src/control/weightplan.h
@@ -2,9 +2,10 @@
 //
 // Several trainers publish a new weight version every few seconds, each replica can hold all models, and the weight
 // store slows down when many replicas load at once. Assigning one model to each replica limits the loads to one per
-// replica and version. A training step may still use the previous weight version. A replica that is one version behind
-// therefore serves the burst of requests at the start of a step first and loads afterwards; one that is further behind
-// loads at once.
+// replica and version. A training step may still use the previous weight version, so each replica needs only every second
+// version: the half of the replicas that is two versions behind loads as soon as a version is published, when the step
+// before has ended and these replicas are idle, and the other half runs the new step meanwhile. Until the halves have
+// formed, replicas that are one version behind load as well, after the burst of requests at the start of a step.
 #ifndef CURRANTLUG_CONTROL_WEIGHTPLAN_H
 #define CURRANTLUG_CONTROL_WEIGHTPLAN_H
 
@@ -29,7 +30,7 @@
     /// are done by then.
     absl::Duration loadDelay = absl::Milliseconds(1500);
     /// A replica that is one version behind loads only while fewer than one in this many replicas of its model load; at
-    /// least one may always load.
+    /// least one may always load. It doesn't load once half of the replicas of its model have the newest version.
     int replicasPerLoad = 3;
     absl::Duration loadTimeout = absl::Seconds(4); ///< After this, the replica is queried for the state of its load.
     absl::Duration retryDelay = absl::Milliseconds(400);
--- a/src/jobs/jobcontext.h
+++ b/src/jobs/jobcontext.h
@@ -95,6 +95,9 @@
     JobSettings settings;
     /// Called at the end of each reward call with the time since its first attempt; may be empty.
     std::function<void(RewardOutcome, absl::Duration)> rewardEnded = {};
+    using VersionsCallback = std::function<void(const std::map<std::string, std::uint64_t> &versionByModel)>;
+    /// Asks a replica for its weight versions; not called back without an answer. May be empty.
+    std::function<void(const serving::Replica &, VersionsCallback)> queryVersions = {};
 };
 
 } // namespace currantlug::jobs
--- a/src/jobs/jobrunner.cpp
+++ b/src/jobs/jobrunner.cpp
@@ -109,6 +109,40 @@
     }
 }
 
+void JobRunner::queryLoadingReplicas(LoadWatch &watch)
+{
+    const serving::Route *route = this->route();
+    const Instant now = net::loopNow();
+    if (stopped_ || route == nullptr || !context_.queryVersions || tracker_.sendOrder(now).empty()) {
+        return;
+    }
+    for (const serving::WeightedService &choice : route->services) {
+        serving::ReplicaTable::ItemRequirements need;
+        need.service = choice.service;
+        need.model = spec_.model;
+        need.minVersion = spec_.minVersion;
+        need.plan = &context_.modelPlan();
+        for (const std::string &id : watch.replicasToQuery(context_.replicas, need, now)) {
+            const serving::Replica *replica = context_.replicas.find(id);
+            context_.queryVersions(
+                *replica,
+                [weak = weak_from_this(), id, startedAtMs = replica->entry.startedAtMs](const auto &versions) {
+                    const auto self = weak.lock();
+                    serving::Replica *known = self == nullptr ? nullptr : self->context_.replicas.find(id);
+                    const auto reported = versions.find(self == nullptr ? std::string() : self->spec_.model);
+                    if (known == nullptr || known->entry.startedAtMs != startedAtMs || reported == versions.end()) {
+                        return;
+                    }
+                    std::uint64_t &version = known->entry.weightVersions[self->spec_.model];
+                    if (reported->second > version) {
+                        version = reported->second;
+                        self->sendWaitingItems();
+                    }
+                });
+        }
+    }
+}
+
 void JobRunner::startAttempt(std::size_t index, serving::Replica &replica)
 {
     Item &item = tracker_.items()[index];
--- a/src/jobs/jobrunner.h
+++ b/src/jobs/jobrunner.h
@@ -8,6 +8,7 @@
 
 #include "jobs/itemtracker.h"
 #include "jobs/jobcontext.h"
+#include "jobs/loadwatch.h"
 #include "jobs/resultlog.h"
 #include "jobs/rewardcaller.h"
 
@@ -45,6 +46,8 @@
     void sendWaitingItems();
     /// Sends the reward calls of complete texts while their services have room.
     void sendRewardCalls();
+    /// Asks replicas with outdated weights for their versions while items wait.
+    void queryLoadingReplicas(LoadWatch &watch);
     /// Checks time limits and slow replicas. Must be called several times a second.
     void tick();
     /// Cancels all attempts for good. Text that was generated so far is kept.
--- a/src/jobs/jobservice.cpp
+++ b/src/jobs/jobservice.cpp
@@ -481,7 +481,9 @@
     const Instant now = net::loopNow();
     for (const auto &[id, owned] : owned_) {
         owned->runner->tick();
+        owned->runner->queryLoadingReplicas(loadWatch_);
     }
+    loadWatch_.expire(now);
     std::vector<std::string> waiting;
     for (const auto &[id, owned] : owned_) {
         if (!owned->pendingReads.empty()) {
--- a/src/jobs/jobservice.h
+++ b/src/jobs/jobservice.h
@@ -180,6 +180,7 @@
     bool isOwnedHere(const JobRecord &record) const;
 
     JobContext context_;
+    LoadWatch loadWatch_;
     RewardCaller rewards_; ///< Shared by all runners; declared before the jobs, whose runners refer to it.
     absl::flat_hash_map<std::string, std::unique_ptr<OwnedJob>> owned_;
     /// Jobs that other nodes took over, kept for the text that was generated here.
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -133,7 +133,15 @@
             return controller_->leading() ? controller_->modelByReplica() : leaderPlan_;
         },
         settings_.name, incarnation_, jobSettings,
-        [this](jobs::RewardOutcome outcome, absl::Duration elapsed) { metrics_.recordReward(outcome, elapsed); }});
+        [this](jobs::RewardOutcome outcome, absl::Duration elapsed) { metrics_.recordReward(outcome, elapsed); },
+        [this](const serving::Replica &replica, jobs::JobContext::VersionsCallback done) {
+            binding_.duties.report(replica,
+                                   [done = std::move(done)](const std::optional<control::ReplicaReport> &report) {
+                                       if (report) {
+                                           done(report->weightVersions);
+                                       }
+                                   });
+        }});
     control::ControllerContext context{
         loop,
         replicas_,
