Share the searches for orphaned jobs, and poll the registered nodes

Each of a node's stop, loss and restart made three nodes search the store, six times in all, although few nodes ever own a job. Each start wrote the node's registration twice, and every node watched all registrations. Change: a node says whether it may hold texts of jobs; nodes that don't are searched for together by three nodes. A registration is created and only replaced if its address differs. Registrations are listed after the own one, then every 20 s with lists that may be stale.

--- a/src/jobs/jobservice.h
+++ b/src/jobs/jobservice.h
@@ -78,8 +78,9 @@
     void scanAfterStart();
     /// Call after another node was lost, left or restarted. Only the nodes that come first in the ranking of its
     /// successors search for its jobs: a search by each node would make as many calls as there are nodes, for each node
-    /// of a rolling restart.
-    void onNodeLost(const std::string &node);
+    /// of a rolling restart. `heldTexts`: the node may have run jobs, by what it last said. A node that ran none is
+    /// searched for as well, since it may have accepted a job right before, but several such nodes share a search.
+    void onNodeLost(const std::string &node, bool heldTexts);
     /// Stops running items and refuses new submissions, so that other nodes can take the jobs over.
     void releaseJobs();
     std::size_t openJobCount() const;
@@ -169,6 +170,9 @@
     void checkOwnershipOfOpenJobs();
     void notifyAllOfEnd(const std::string &jobId);
     void notifyOfEnd(const std::string &node, const std::string &jobId, int triesLeft);
+    /// True if this node is one of the first `scanners` in the ranking of the nodes that search for orphaned jobs.
+    bool isScanner(std::size_t scanners) const;
+    void planSharedScan();
     void onOrphanScanReply(objects::StoreReply reply);
     /// Nodes that may take over the jobs of a lost owner, best first, by the view of this node. Not empty.
     std::vector<std::string> successorsOf(const std::string &owner) const;
@@ -192,6 +196,7 @@
     absl::flat_hash_map<std::string, Instant> orphanedSince_; ///< Orphaned jobs of other successors, when first seen.
     Instant lastRecheck_;
     bool scanning_ = false;
+    int sharedScansLeft_ = 0; ///< Searches to come for the jobs of nodes that had run none.
     bool released_ = false;
 };
 
--- a/src/jobs/jobtakeover.cpp
+++ b/src/jobs/jobtakeover.cpp
@@ -28,10 +28,16 @@
 // A job that its successor leaves for this time is taken over by any node that finds it: the views of the nodes differ,
 // or the successor runs an earlier build, which chooses otherwise.
 constexpr absl::Duration SuccessorTime = absl::Milliseconds(2400);
-// Ranks the nodes that search for orphaned jobs after a start. It must differ from all names of nodes.
-constexpr std::string_view StartScanKey = "/start";
+// Ranks the nodes that search for orphaned jobs after a start and for lost nodes that had run no jobs. It must differ
+// from all names of nodes.
+constexpr std::string_view ScannerKey = "/scanner";
 // Number of nodes that search after a start. Some of them may be cut off from the store.
 constexpr std::size_t StartScanners = 8;
+// Number of nodes that search for the jobs of lost nodes that had run none, the period of these searches, and how many
+// follow a loss. The later ones find what the successor has not taken over.
+constexpr std::size_t SharedScanners = 3;
+constexpr absl::Duration SharedScanPeriod = absl::Seconds(2);
+constexpr int SharedScansPerLoss = 3;
 
 } // namespace
 
@@ -227,8 +233,31 @@
     return jobs::successorsOf(owner, jobHosts());
 }
 
-void JobService::onNodeLost(const std::string &node)
+bool JobService::isScanner(std::size_t scanners) const
 {
+    const std::vector<std::string> ranking = successorsOf(std::string(ScannerKey));
+    const auto last = ranking.begin() + static_cast<std::ptrdiff_t>(std::min(ranking.size(), scanners));
+    return std::find(ranking.begin(), last, context_.node) != last;
+}
+
+void JobService::planSharedScan()
+{
+    net::runAfter(context_.loop, SharedScanPeriod, [this] {
+        scanOrphanedJobs();
+        if (--sharedScansLeft_ > 0) {
+            planSharedScan();
+        }
+    });
+}
+
+void JobService::onNodeLost(const std::string &node, bool heldTexts)
+{
+    if (!heldTexts) {
+        if (isScanner(SharedScanners) && std::exchange(sharedScansLeft_, SharedScansPerLoss) == 0) {
+            planSharedScan();
+        }
+        return;
+    }
     const std::vector<std::string> successors = successorsOf(node);
     const auto rank =
         static_cast<std::size_t>(std::find(successors.begin(), successors.end(), context_.node) - successors.begin());
@@ -239,9 +268,7 @@
 
 void JobService::scanAfterStart()
 {
-    const std::vector<std::string> ranking = successorsOf(std::string(StartScanKey));
-    const auto last = ranking.begin() + static_cast<std::ptrdiff_t>(std::min(ranking.size(), StartScanners));
-    if (std::find(ranking.begin(), last, context_.node) != last) {
+    if (isScanner(StartScanners)) {
         scanOrphanedJobs();
     }
 }
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -40,7 +40,7 @@
 constexpr absl::Duration ReplicaBatchDelay = absl::Milliseconds(1200);
 
 // New nodes make themselves known by their probes; the registrations only make sure that none stays unknown.
-constexpr absl::Duration NodeBatchDelay = absl::Seconds(2);
+constexpr absl::Duration NodePollPeriod = absl::Seconds(20);
 
 objects::MirrorSettings replicaMirrorSettings()
 {
@@ -61,7 +61,7 @@
 objects::MirrorSettings nodeMirrorSettings()
 {
     objects::MirrorSettings settings;
-    settings.batchDelay = NodeBatchDelay;
+    settings.pollPeriod = NodePollPeriod;
     return settings;
 }
 
@@ -175,7 +175,7 @@
     mesh_.setHandler([this](const std::string &method, const Json &body, std::function<void(Json)> reply) {
         return peerCall(method, body, std::move(reply));
     });
-    mesh_.onLost([this](const std::string &node) { jobs_->onNodeLost(node); });
+    mesh_.onLost([this](const std::string &node, bool heldTexts) { jobs_->onNodeLost(node, heldTexts); });
     mesh_.setLeaderState([this]() -> Json {
         return controller_->leading() ? Json{{"plan", controller_->modelByReplica()}} : Json();
     });
@@ -199,7 +199,6 @@
     addSeeds(settings_.seeds);
     configMirror_.start();
     replicaMirror_.start();
-    nodeMirror_.start();
     registerNode();
     mesh_.start();
     net::runEvery(loop_, FastTickPeriod, [this] { fastTick(); });
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -126,6 +126,7 @@
     bool registryUnstable() const;
     void onNodeObject(const objects::ObjectChange &change);
     void registerNode();
+    Json registration() const;
     bool peerCall(const std::string &method, const Json &body, std::function<void(Json)> reply);
     /// Runs every FastTickPeriod: expires replicas and advances the controller and the jobs.
     void fastTick();
--- a/src/node/nodestate.cpp
+++ b/src/node/nodestate.cpp
@@ -214,37 +214,41 @@
     }
     if (const auto info = parseNodeInfo(change.object.value)) {
         mesh_.add(info->name, info->control);
+        if (info->name == settings_.name && info->control != settings_.controlAddress) {
+            // Left by an earlier process at another address.
+            binding_.store.replace(
+                NodeKind, settings_.name, change.object.revision, registration(), [](const StoreReply &reply) {
+                    telemetry::log(Level::Info, "node", "registration_replaced", {{"outcome", nameOf(reply.outcome)}});
+                });
+        }
     } else {
         telemetry::log(Level::Warning, "node", "registration_unreadable", {{"node", change.object.name}});
     }
 }
 
-void Node::registerNode()
+Json Node::registration() const
 {
-    if (registered_ || stopping_) {
-        return;
-    }
     NodeInfo info = this->info();
     // The registration holds only what doesn't change between restarts, so that a restart at the same address needs no
-    // write to the store.
+    // change of it.
     info.incarnation.clear();
-    info.ready = info.storeReached = info.leading = false;
+    info.ready = info.storeReached = info.leading = info.holdsTexts = false;
     info.configRevision = 0;
-    const auto retryLater = [this] { net::runAfter(loop_, RegistrationRetryDelay, [this] { registerNode(); }); };
-    const Json value = node::toJson(info);
-    binding_.store.create(NodeKind, settings_.name, value, [this, value, retryLater](const StoreReply &reply) {
-        if (reply.outcome == StoreOutcome::Done) {
-            registered_ = true;
-        } else if (reply.outcome != StoreOutcome::Conflict) {
-            retryLater();
-        } else {
-            binding_.store.replace(NodeKind, settings_.name, 0, value, [this, retryLater](const StoreReply &replaced) {
-                registered_ = replaced.outcome == StoreOutcome::Done;
-                if (!registered_) {
-                    retryLater();
-                }
-            });
+    return node::toJson(info);
+}
+
+void Node::registerNode()
+{
+    if (registered_ || stopping_) {
+        return;
+    }
+    binding_.store.create(NodeKind, settings_.name, registration(), [this](const StoreReply &reply) {
+        registered_ = reply.outcome == StoreOutcome::Done || reply.outcome == StoreOutcome::Conflict;
+        if (!registered_) {
+            net::runAfter(loop_, RegistrationRetryDelay, [this] { registerNode(); });
         }
+        // Listed after the registration: of two nodes that start together, the later one finds the earlier one.
+        nodeMirror_.start();
     });
 }
 
--- a/src/node/peermesh.cpp
+++ b/src/node/peermesh.cpp
@@ -115,7 +115,7 @@
         if (peer.wasInContact && !inContact(peer)) {
             peer.wasInContact = false;
             telemetry::log(Level::Warning, "mesh", "node_lost", {{"node", name}});
-            lostHandler_(name);
+            lostHandler_(name, peer.info.holdsTexts);
         }
     }
     for (const std::string &name : names) {
@@ -175,7 +175,7 @@
             found->second.refused = true;
             if (std::exchange(found->second.wasInContact, false)) {
                 telemetry::log(Level::Warning, "mesh", "node_refuses", {{"node", name}});
-                lostHandler_(name);
+                lostHandler_(name, found->second.info.holdsTexts);
             }
         }
     };
@@ -190,11 +190,12 @@
     }
     const bool restarted = !peer.info.incarnation.empty() && peer.info.incarnation != info.incarnation;
     const bool beganStopping = info.stopping && !peer.info.stopping;
+    const bool heldTexts = restarted ? peer.info.holdsTexts : info.holdsTexts;
     peer.control = info.control;
     peer.info = info;
     if (restarted || beganStopping) {
         telemetry::log(Level::Info, "mesh", restarted ? "node_restarted" : "node_stopping", {{"node", info.name}});
-        lostHandler_(info.name);
+        lostHandler_(info.name, heldTexts);
     }
 }
 
--- a/src/node/peermesh.h
+++ b/src/node/peermesh.h
@@ -59,8 +59,12 @@
 
     /// Sets the handler for calls of peers other than probes.
     void setHandler(Handler handler) { handler_ = std::move(handler); }
-    /// Sets the function that is called when a peer is lost, begins to stop or has restarted.
-    void onLost(std::function<void(const std::string &node)> handler) { lostHandler_ = std::move(handler); }
+    /// Sets the function that is called when a peer is lost, begins to stop or has restarted. `heldTexts`: it may have
+    /// run jobs, by what it last said.
+    void onLost(std::function<void(const std::string &node, bool heldTexts)> handler)
+    {
+        lostHandler_ = std::move(handler);
+    }
     /// Sets the function that receives the state sent by the leader, see setLeaderState().
     void onLeaderState(std::function<void(const Json &)> handler) { leaderStateHandler_ = std::move(handler); }
     /// Sets the source of the state that is sent with each probe and reply. Null means that nothing is sent. Peers
@@ -127,7 +131,7 @@
     PeerMeshSettings settings_;
     std::function<NodeInfo()> self_;
     Handler handler_;
-    std::function<void(const std::string &)> lostHandler_;
+    std::function<void(const std::string &, bool)> lostHandler_;
     std::function<void(const Json &)> leaderStateHandler_;
     std::function<Json()> leaderStateSource_;
     Instant startedAt_;
--- a/src/objects/meteredport.cpp
+++ b/src/objects/meteredport.cpp
@@ -58,6 +58,9 @@
 {
     meter<std::string, std::string>(port.get, {metrics, "get"});
     meter<std::string, std::string>(port.list, {metrics, "list"});
+    if (port.listStale) {
+        meter<std::string, std::string>(port.listStale, {metrics, "list_stale"});
+    }
     meter<std::string, std::uint64_t, absl::Duration>(port.watch, {metrics, "watch"}, false);
     meter<std::string, std::string, Json>(port.create, {metrics, "create"});
     meter<std::string, std::string, std::uint64_t, Json>(port.replace, {metrics, "replace"});
--- a/src/objects/objectmirror.cpp
+++ b/src/objects/objectmirror.cpp
@@ -36,7 +36,9 @@
         listedNames_.clear();
         listRevision_ = 0;
     }
-    port_.list(kind_, std::move(after), [this, generation = generation_](const StoreReply &reply) {
+    const bool mayBeStale = synced_ && settings_.pollPeriod > absl::ZeroDuration() && port_.listStale;
+    const auto &call = mayBeStale ? port_.listStale : port_.list;
+    call(kind_, std::move(after), [this, generation = generation_](const StoreReply &reply) {
         if (generation == generation_) {
             onList(reply);
         }
@@ -85,6 +87,14 @@
     if (!running_) {
         return;
     }
+    if (settings_.pollPeriod > absl::ZeroDuration()) {
+        net::runAfter(loop_, settings_.pollPeriod, [this, generation = generation_] {
+            if (generation == generation_) {
+                list("");
+            }
+        });
+        return;
+    }
     port_.watch(kind_, watchRevision_, failing() ? settings_.probeWatchWait : settings_.watchWait,
                 [this, generation = generation_](const StoreReply &reply) {
                     if (generation == generation_) {
--- a/src/objects/objectmirror.h
+++ b/src/objects/objectmirror.h
@@ -17,6 +17,9 @@
     /// Maximum duration of one watch call. The store keeps 20 s of history: a call that waits longer for a change ends
     /// without the revision to continue from, and everything must be listed again.
     absl::Duration watchWait = absl::Seconds(15);
+    /// If not zero, the objects are listed with this period instead of being watched. Lists after the first one may be
+    /// some seconds old.
+    absl::Duration pollPeriod;
     /// Maximum duration of a watch call after a failure. During a store outage a call may be accepted and never
     /// answered, so the first call after a failure must time out early.
     absl::Duration probeWatchWait = absl::Milliseconds(100);
--- a/src/objects/objectport.h
+++ b/src/objects/objectport.h
@@ -73,6 +73,8 @@
     std::function<void(std::string kind, std::string name, StoreCallback)> get;
     /// Returns objects of a kind in the order of their names, starting after the name `after`.
     std::function<void(std::string kind, std::string after, StoreCallback)> list;
+    /// Like `list`, but the store may answer with the objects of some seconds ago, which costs it less. May be empty.
+    std::function<void(std::string kind, std::string after, StoreCallback)> listStale = {};
     /// Returns as soon as there are changes after the revision `after`, or with no changes once `wait` has elapsed.
     std::function<void(std::string kind, std::uint64_t after, absl::Duration wait, StoreCallback)> watch;
     std::function<void(std::string kind, std::string name, Json value, StoreCallback)> create;
--- a/tests/jobs/jobservicetest.cpp
+++ b/tests/jobs/jobservicetest.cpp
@@ -131,7 +131,7 @@
     const int listed = cluster.store.calls("list");
     cluster.kill("node-0");
     for (std::size_t i = 1; i < names.size(); ++i) {
-        cluster.at(names[i]).onNodeLost("node-0");
+        cluster.at(names[i]).onNodeLost("node-0", true);
     }
     REQUIRE(cluster.waitForResults(names.back(), "job", 4));
     runFor(cluster.loop, std::chrono::milliseconds(4300));
@@ -139,6 +139,36 @@
     CHECK(cluster.store.calls("list") - listed <= 12);
 }
 
+// Guards against searches for each of many nodes that end one after the other and had run no jobs, and against a job
+// that one of them had accepted right before it ended.
+TEST_CASE("nodes that had run no jobs share the searches, and a job of one of them is still taken over")
+{
+    std::vector<std::string> names;
+    for (int i = 0; i < 40; ++i) {
+        names.push_back("node-" + std::to_string(i));
+    }
+    JobCluster cluster(names);
+    cluster.replicas.eventsPerItem = 100;
+    cluster.replicas.eventGap = absl::Milliseconds(20);
+    REQUIRE(cluster.submit("node-7", JobCluster::spec("job", 4)) == SubmitOutcome::Accepted);
+    const int listed = cluster.store.calls("list");
+    // One node every 100 ms for two seconds; each of the others notices each loss.
+    for (int lost = 0; lost < 20; ++lost) {
+        const std::string node = names[static_cast<std::size_t>(lost)];
+        cluster.kill(node);
+        for (std::size_t i = static_cast<std::size_t>(lost) + 1; i < names.size(); ++i) {
+            cluster.at(names[i]).onNodeLost(node, false);
+        }
+        runFor(cluster.loop, std::chrono::milliseconds(100));
+    }
+    runFor(cluster.loop, std::chrono::milliseconds(6500));
+    CHECK(cluster.store.value("jobs", "job")["owner"] != "node-7");
+    // 20 losses; in the 8.5 s at most five searches of each of three nodes that live on, those of nodes that were lost
+    // meanwhile, and the successor's. A search for each loss would make 120.
+    CHECK(cluster.store.calls("list") - listed <= 30);
+    REQUIRE(cluster.waitForResults(names.back(), "job", 4));
+}
+
 // Guards against a job that nobody takes over because its successor doesn't see that the owner was lost.
 TEST_CASE("a job that its successor leaves is taken over by another node")
 {
@@ -155,7 +185,7 @@
     // The store is out of reach for the successor alone: its searches fail, and it claims nothing.
     cluster.storeOutOfReach.insert(successor);
     for (const std::string node : {"b", "c", "d"}) {
-        cluster.at(node).onNodeLost("a");
+        cluster.at(node).onNodeLost("a", true);
     }
     const std::string reader = successor == "b" ? "c" : "b";
     REQUIRE(cluster.waitForResults(reader, "job", 4));
--- a/tests/objects/objectmirrortest.cpp
+++ b/tests/objects/objectmirrortest.cpp
@@ -64,6 +64,52 @@
     }));
 }
 
+// Guards against objects that a polling mirror misses, or reports as removed because a list was older than the one
+// before.
+TEST_CASE("a polling mirror follows changes without watching, and a list of some time ago removes nothing")
+{
+    net::Loop loop;
+    InMemoryObjectStore store(loop);
+    store.put("things", "a", 1);
+    objects::ObjectPort port = store.port();
+    objects::StoreReply oldList;
+    bool answerOld = false;
+    int staleLists = 0;
+    port.listStale = [&](std::string kind, std::string after, objects::StoreCallback done) {
+        ++staleLists;
+        if (answerOld) {
+            done(oldList);
+        } else {
+            store.port().list(std::move(kind), std::move(after), std::move(done));
+        }
+    };
+    store.port().list("things", "", [&oldList](objects::StoreReply reply) { oldList = std::move(reply); });
+    REQUIRE(runUntil(loop, [&oldList] { return oldList.changes.size() == 1; }));
+    objects::MirrorSettings settings;
+    settings.pollPeriod = absl::Milliseconds(20);
+    std::map<std::string, Json> mirrored;
+    objects::ObjectMirror mirror(loop, std::move(port), "things", settings, [&](const objects::ObjectChange &change) {
+        if (change.removed) {
+            mirrored.erase(change.object.name);
+        } else {
+            mirrored[change.object.name] = change.object.value;
+        }
+    });
+    mirror.start();
+    REQUIRE(runUntil(loop, [&mirrored] { return mirrored.contains("a"); }));
+    store.put("things", "b", 2);
+    REQUIRE(runUntil(loop, [&mirrored] { return mirrored.contains("b"); }));
+    answerOld = true;
+    const int before = staleLists;
+    REQUIRE(runUntil(loop, [&] { return staleLists > before + 2; }));
+    CHECK(mirrored.contains("b"));
+    answerOld = false;
+    store.erase("things", "a");
+    CHECK(runUntil(loop, [&mirrored] { return !mirrored.contains("a"); }));
+    CHECK(store.calls("watch") == 0);
+    CHECK(store.calls("list") >= 1);
+}
+
 // Guards against a mirror that misses changes long after a store outage: a watch call to a store that doesn't respond
 // times out only after its whole wait, and the store may be available again long before that.
 TEST_CASE("a mirror resumes soon after an unresponsive store is available again")
