Let one node of a pair probe the other one

Cause: of each two nodes both probed once a second, although a probe and its answer tell both nodes the other's state. Change: a node probes a peer only after it has not heard from it for a second, checked every 250 ms; a probe counts as contact like an answer. If the one that probes falls silent, the other one probes and notices a refusal within two periods.

--- a/src/node/peermesh.cpp
+++ b/src/node/peermesh.cpp
@@ -77,7 +77,7 @@
     Peer &peer = peers_[name];
     if (peer.control != control) {
         peer.control = control;
-        peer.lastReply = Instant();
+        peer.lastHeard = Instant();
         peer.probedSince = net::loopNow();
         peer.refused = false;
         probe(name);
@@ -99,28 +99,41 @@
 void PeerMesh::start()
 {
     tick();
-    net::runEvery(loop_, settings_.period, [this] { tick(); });
+    net::runEvery(loop_, settings_.checkPeriod, [this] { tick(); });
+    probeSeeds();
+    net::runEvery(loop_, settings_.period, [this] { probeSeeds(); });
 }
 
 bool PeerMesh::inContact(const Peer &peer) const
 {
-    return peer.lastReply != Instant() && net::loopNow() - peer.lastReply < settings_.lostAfter;
+    return peer.lastHeard != Instant() && net::loopNow() - peer.lastHeard < settings_.lostAfter;
 }
 
 void PeerMesh::tick()
 {
-    std::vector<std::string> names;
+    const Instant now = net::loopNow();
+    std::vector<std::string> lost;
+    std::vector<std::string> silent;
     for (auto &[name, peer] : peers_) {
-        names.push_back(name);
         if (peer.wasInContact && !inContact(peer)) {
             peer.wasInContact = false;
-            telemetry::log(Level::Warning, "mesh", "node_lost", {{"node", name}});
-            lostHandler_(name, peer.info.holdsTexts);
+            lost.push_back(name);
+        }
+        if (now - peer.lastHeard >= settings_.period) {
+            silent.push_back(name);
         }
     }
-    for (const std::string &name : names) {
+    for (const std::string &name : lost) {
+        telemetry::log(Level::Warning, "mesh", "node_lost", {{"node", name}});
+        lostHandler_(name, peers_[name].info.holdsTexts);
+    }
+    for (const std::string &name : silent) {
         probe(name);
     }
+}
+
+void PeerMesh::probeSeeds()
+{
     const bool noContact =
         std::none_of(peers_.begin(), peers_.end(), [this](const auto &entry) { return inContact(entry.second); });
     if (noContact) {
@@ -171,7 +184,7 @@
         } else if (found != peers_.end() && !response.ok() && response.status().code() == absl::StatusCode::kUnavailable
                    && errorContext(response.status()).step == Step::Connect) {
             // The connection was refused: no process listens at the address.
-            found->second.lastReply = Instant();
+            found->second.lastHeard = Instant();
             found->second.refused = true;
             if (std::exchange(found->second.wasInContact, false)) {
                 telemetry::log(Level::Warning, "mesh", "node_refuses", {{"node", name}});
@@ -199,20 +212,25 @@
     }
 }
 
+void PeerMesh::recordContact(const NodeInfo &info)
+{
+    updatePeer(info);
+    Peer &peer = peers_[info.name];
+    peer.lastHeard = net::loopNow();
+    peer.refused = false;
+    if (!std::exchange(peer.wasInContact, true)) {
+        telemetry::log(Level::Info, "mesh", "node_found",
+                       {{"node", info.name}, {"incarnation", info.incarnation}, {"known", peers_.size()}});
+    }
+}
+
 void PeerMesh::onProbeReply(const std::string &name, const Json &reply)
 {
     const auto info = reply.is_object() && reply.contains("info") ? parseNodeInfo(reply["info"]) : std::nullopt;
     if (!info || info->name == self_().name || (!name.empty() && name != info->name)) {
         return;
     }
-    updatePeer(*info);
-    Peer &peer = peers_[info->name];
-    peer.lastReply = net::loopNow();
-    peer.refused = false;
-    if (!std::exchange(peer.wasInContact, true)) {
-        telemetry::log(Level::Info, "mesh", "node_found",
-                       {{"node", info->name}, {"incarnation", info->incarnation}, {"known", peers_.size()}});
-    }
+    recordContact(*info);
     if (reply.contains("extra") && info->leading) {
         leaderStateHandler_(reply["extra"]);
     }
@@ -247,11 +265,7 @@
     }
     const auto info = body->is_object() && body->contains("info") ? parseNodeInfo((*body)["info"]) : std::nullopt;
     if (info && info->name != self_().name) {
-        const bool known = peers_.contains(info->name);
-        updatePeer(*info);
-        if (!known) {
-            probe(info->name);
-        }
+        recordContact(*info);
         if (body->contains("extra") && info->leading) {
             leaderStateHandler_((*body)["extra"]);
         }
@@ -374,7 +388,7 @@
     if (inContact(peer)) {
         return peer.info.stopping || peer.info.incarnation != incarnation;
     }
-    return peer.refused || now - std::max(peer.probedSince, peer.lastReply) > settings_.lostAfter;
+    return peer.refused || now - std::max(peer.probedSince, peer.lastHeard) > settings_.lostAfter;
 }
 
 bool PeerMesh::allInContact() const
--- a/src/node/peermesh.h
+++ b/src/node/peermesh.h
@@ -1,9 +1,10 @@
 // Contact between the nodes of a deployment: which peers are known, in contact, stopping or leading, and calls between
 // nodes.
 //
-// Each node probes each peer once a second. A peer counts as alive while its replies are recent, and as lost at once if
-// it refuses connections. Contact is soft state: decisions that must be consistent are made by conditional writes to
-// the object store.
+// A node probes each peer that it has not heard from for a second. A probe tells both nodes the state of the other one,
+// so one of each pair probes and the other one answers, until the first one is silent. A peer counts as alive while its
+// probes or replies are recent, and as lost at once if it refuses connections. Contact is soft state: decisions that
+// must be consistent are made by conditional writes to the object store.
 #ifndef CURRANTLUG_NODE_PEERMESH_H
 #define CURRANTLUG_NODE_PEERMESH_H
 
@@ -44,7 +45,8 @@
 
 struct PeerMeshSettings
 {
-    absl::Duration period = absl::Seconds(1); ///< Time between two probes of a peer.
+    absl::Duration period = absl::Seconds(1); ///< A peer is probed once it was silent for this time.
+    absl::Duration checkPeriod = absl::Milliseconds(250); ///< Time between two checks for silent peers.
     absl::Duration timeout = absl::Milliseconds(700); ///< For the reply to a probe, and for connecting.
     absl::Duration lostAfter = absl::Milliseconds(2400); ///< Two probes in a row without a reply.
 };
@@ -110,7 +112,8 @@
     {
         std::string control;
         NodeInfo info;
-        Instant lastReply; ///< Default value without a reply since the last refusal or change of address.
+        /// Time of its last reply or probe. Default value without one since the last refusal or change of address.
+        Instant lastHeard;
         Instant probedSince; ///< Time of the first probe, or of the last change of the address.
         bool refused = false; ///< The last probe was refused: no process listens at the address.
         bool probePending = false; ///< A probe is under way.
@@ -121,6 +124,9 @@
     void sendProbe(const std::string &control, const std::string &name);
     void onProbeReply(const std::string &name, const Json &reply);
     void updatePeer(const NodeInfo &info);
+    /// Updates the peer and counts it as in contact: it has answered, or sent a probe.
+    void recordContact(const NodeInfo &info);
+    void probeSeeds();
     void tick();
     bool inContact(const Peer &peer) const;
     /// Body of a probe and of its reply: the state of this node and, if there is one, the leader state.
