--- a/src/control/weightplan.h
+++ b/src/control/weightplan.h
@@ -2,10 +2,11 @@
 //
 // Several trainers publish a new weight version every few seconds, each replica can hold all models, and the weight
 // store slows down when many replicas load at once. Assigning one model to each replica limits the loads to one per
-// replica and version. A training step may still use the previous weight version, so each replica needs only every second
-// version: the half of the replicas that is two versions behind loads as soon as a version is published, when the step
-// before has ended and these replicas are idle, and the other half runs the new step meanwhile. Until the halves have
-// formed, replicas that are one version behind load as well, after the burst of requests at the start of a step.
+// replica and version. A training step may still use the previous weight version, so each replica needs only every
+// second version: the half of the replicas that is two versions behind loads as soon as a version is published, when
+// the step before has ended and these replicas are idle, and the other half runs the new step meanwhile. Until the
+// halves have formed, replicas that are one version behind load as well, after the burst of requests at the start of a
+// step.
 #ifndef CURRANTLUG_CONTROL_WEIGHTPLAN_H
 #define CURRANTLUG_CONTROL_WEIGHTPLAN_H
 
--- a/src/serving/replicatable.h
+++ b/src/serving/replicatable.h
@@ -72,9 +72,9 @@
     };
     /// Returns the best replica with a free slot for an item of a job; null if there is none.
     Replica *chooseForItem(const ItemRequirements &requirements, const std::set<std::string> &excluded, Instant now);
-    /// Event gap of the fast replicas among those that meet the requirements: about a third of the gaps are shorter. The
-    /// shortest of many noisy measurements is far below what any replica keeps up. Up to four replicas have no third; the
-    /// shortest gap counts. Zero if no gap is known.
+    /// Event gap of the fast replicas among those that meet the requirements: about a third of the gaps are shorter.
+    /// The shortest of many noisy measurements is far below what any replica keeps up. Up to four replicas have no
+    /// third; the shortest gap counts. Zero if no gap is known.
     absl::Duration fastEventGap(const ItemRequirements &requirements) const;
 
     /// Records the load that the replica reported with a response.
