Test planned stops and late calls around a forwarded submission

The asked node and the large node stop while a submission is being forwarded, and the large node carries a submission out after the asked node has submitted the job itself: the job is accepted once, and each item runs once. The code passes these as it is.

--- a/tests/jobs/jobcluster.h
+++ b/tests/jobs/jobcluster.h
@@ -226,6 +226,8 @@
     std::map<std::string, std::uint64_t> reportedVersions; ///< Weight version that a replica reports when asked.
     int versionQueries = 0;
     std::set<std::string> losePeerCalls; ///< Nodes to which calls are lost, although they count as live.
+    /// Nodes that are paused: calls to them are carried out after this time, when the caller has given up.
+    std::map<std::string, absl::Duration> delayPeerCalls;
     std::set<std::string> losePeerReplies; ///< Nodes whose replies to calls are lost.
     std::set<std::pair<std::string, std::string>> partitions; ///< Pairs of nodes that can't reach each other.
 
@@ -300,6 +302,14 @@
                           [done = std::move(done)] { done(absl::UnavailableError("unreachable")); });
             return;
         }
+        if (const auto delay = delayPeerCalls.find(to); delay != delayPeerCalls.end()) {
+            net::runAfter(loop, delay->second, [this, to, method, body] {
+                members_[to].service->handlePeerCall(method, body, [](const Json &) {});
+            });
+            net::runAfter(loop, absl::Milliseconds(20),
+                          [done = std::move(done)] { done(absl::DeadlineExceededError("no answer in time")); });
+            return;
+        }
         const bool loseReply = losePeerReplies.contains(to);
         found->second.service->handlePeerCall(
             method, body, [this, loseReply, done = std::move(done)](const Json &reply) {
--- a/tests/jobs/jobplacementtest.cpp
+++ b/tests/jobs/jobplacementtest.cpp
@@ -154,6 +154,48 @@
     }
 }
 
+// Guards against a submission that is cut off by a planned stop right after it was read: of the node that was asked, or
+// of the large node before the others know that it stops.
+TEST_CASE("a submission that is being forwarded survives a planned stop of either node")
+{
+    JobCluster cluster({"a", "b", "c"}, {{"a", 0.12}, {"b", 0.5}, {"c", 0.5}});
+    const std::string host = jobs::chooseJobHost("model", {}, {{"b", 0.5}, {"c", 0.5}});
+    const std::string other = host == "b" ? "c" : "b";
+    std::optional<SubmitOutcome> outcome;
+    SECTION("of the node that was asked")
+    {
+        cluster.at("a").submit(JobCluster::spec("job", 4), [&outcome](SubmitOutcome result) { outcome = result; });
+        cluster.stop("a");
+        REQUIRE(runUntil(cluster.loop, [&outcome] { return outcome.has_value(); }));
+        CHECK(outcome == SubmitOutcome::Accepted);
+        CHECK(ownerOf(cluster, "job") == host);
+        CHECK(cluster.waitForResults(other, "job", 4));
+    }
+    SECTION("of the large node")
+    {
+        cluster.at(host).releaseJobs();
+        CHECK(cluster.submit("a", JobCluster::spec("job", 4)) == SubmitOutcome::Accepted);
+        CHECK(ownerOf(cluster, "job") == "a");
+        CHECK(cluster.waitForResults(other, "job", 4));
+    }
+    CHECK(cluster.replicas.receivedRequests.size() == 4);
+}
+
+// Guards against a job that runs twice because the large node was paused, and acts on the submission only after the
+// node that forwarded it has given up and submitted the job itself.
+TEST_CASE("a forwarded submission that is carried out late runs no item")
+{
+    JobCluster cluster({"a", "b"}, {{"a", 0.12}, {"b", 0.5}});
+    cluster.delayPeerCalls = {{"b", absl::Milliseconds(300)}};
+    REQUIRE(cluster.submit("a", JobCluster::spec("job", 4)) == SubmitOutcome::Accepted);
+    CHECK(ownerOf(cluster, "job") == "a");
+    runFor(cluster.loop, std::chrono::milliseconds(500));
+    CHECK(cluster.waitForResults("a", "job", 4));
+    CHECK(ownerOf(cluster, "job") == "a");
+    CHECK(cluster.replicas.receivedRequests.size() == 4);
+    CHECK(cluster.at("b").openJobCount() == 0);
+}
+
 // Guards against calls to every node of a large fleet at each submission.
 TEST_CASE("texts are asked only from the nodes that may have some")
 {
