--- a/src/jobs/jobrunner.cpp
+++ b/src/jobs/jobrunner.cpp
@@ -412,8 +412,7 @@
     serving::ReplicaTable::ItemRequirements need;
     need.model = spec_.model;
     need.minVersion = spec_.minVersion;
-    absl::Duration fastGap; // Event gap of the fast replicas for `need`.
-    bool fastGapUnknown = true;
+    absl::Duration fastGap; // Event gap of the fast replicas for `need`, once `need` names a service.
     for (std::size_t index = 0; index < tracker_.items().size(); ++index) {
         Item &item = tracker_.items()[index];
         const bool open =
@@ -443,11 +442,10 @@
             continue;
         }
         // Items of a single version differ in the replicas that they may use.
-        if (fastGapUnknown || requiresSingleVersion || need.service != replica->entry.service) {
+        if (requiresSingleVersion || need.service != replica->entry.service) {
             need.service = replica->entry.service;
             need.exactVersion = requiresSingleVersion && !item.text.empty() ? item.text.versions.front() : 0;
             fastGap = context_.replicas.fastEventGap(need);
-            fastGapUnknown = false;
         }
         const double factor = item.text.events.size() >= LongAttemptEvents ? LongAttemptFactor : SlowReplicaFactor;
         if (fastGap == absl::ZeroDuration() || replica->eventGap <= fastGap * factor) {
