Show the age of a node's view of the store in metrics, refusals and outage lines

No logic changes. New: currantlug_view_age_seconds{view}, config_age_ms with no_route and key_refused, view_age_ms with store_lost. A check of the metrics was added to tests/node.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -320,7 +320,8 @@
                    {telemetry::requestId(request.id),
                     {"host", request.host},
                     {"config_version", config_->version},
-                    {"config_current", current}});
+                    {"config_current", current},
+                    {"config_age_ms", absl::ToInt64Milliseconds(configMirror_.age(net::loopNow()))}});
     if (!current) {
         refuseTemporarily(request, sink, "the configuration may be out of date");
     } else if (denial == Denial::UnknownKey) {
@@ -462,6 +463,8 @@
     status.leading = controller_->leading();
     status.storeReached = storeReached();
     status.watchesReplicas = replicaMirror_.running();
+    const Instant now = net::loopNow();
+    status.viewAges = {{StoreView::Config, configMirror_.age(now)}, {StoreView::Replicas, replicaViewAge(now)}};
     status.configVersion = config_ ? config_->version : 0;
     status.nodesInContact = mesh_.contacts().size();
     status.openJobs = jobs_->openJobCount();
@@ -470,7 +473,7 @@
     if (scrapeHandler_) {
         scrapeHandler_(metrics_.registry());
     }
-    return metrics_.exposition(status, replicas_, net::loopNow());
+    return metrics_.exposition(status, replicas_, now);
 }
 
 // Periodic tasks
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -121,6 +121,8 @@
     /// Decides whether this node watches the registry of replicas or takes it from peers.
     void updateWatchPlan();
     void setWatching(bool watching, std::string_view reason);
+    /// Time since the store, or the source that is followed, last confirmed the known replicas.
+    absl::Duration replicaViewAge(Instant now) const;
     /// True if the replicas known here follow the registry, directly or through a peer.
     bool replicasCurrent() const;
     bool registryUnstable() const;
--- a/src/node/nodemetrics.cpp
+++ b/src/node/nodemetrics.cpp
@@ -119,6 +119,12 @@
         status.watchesReplicas ? 1 : 0);
     set("currantlug_config_version", "Version of the configuration in force.",
         static_cast<double>(status.configVersion));
+    for (const auto &[view, age] : status.viewAges) {
+        registry_
+            .gauge("currantlug_view_age_seconds", "Time since the store, or the node followed, last confirmed the view.",
+                   {{"view", std::string(nameOf(view))}})
+            .set(absl::ToDoubleSeconds(age));
+    }
     set("currantlug_nodes_in_contact", "Peers that answered recently.", static_cast<double>(status.nodesInContact));
     set("currantlug_jobs_open", "Batch jobs that this node runs.", static_cast<double>(status.openJobs));
     set("currantlug_connections_opened", "Connections opened since the start.",
--- a/src/node/nodemetrics.h
+++ b/src/node/nodemetrics.h
@@ -14,6 +14,26 @@
 
 namespace currantlug::node {
 
+/// Parts of the object store's contents that a node follows.
+enum class StoreView {
+    Config,
+    Replicas,
+};
+
+} // namespace currantlug::node
+
+template<>
+struct currantlug::EnumNames<currantlug::node::StoreView>
+{
+    using StoreView = currantlug::node::StoreView;
+    static constexpr std::array<std::pair<StoreView, std::string_view>, 2> Table{{
+        {StoreView::Config, "config"},
+        {StoreView::Replicas, "replicas"},
+    }};
+};
+
+namespace currantlug::node {
+
 /// State of the node at the time of a scrape.
 struct NodeStatus
 {
@@ -21,6 +41,7 @@
     bool leading = false;
     bool storeReached = false;
     bool watchesReplicas = false;
+    std::map<StoreView, absl::Duration> viewAges; ///< Time since each view was last confirmed.
     std::uint64_t configVersion = 0; ///< 0 if there is none yet.
     std::size_t nodesInContact = 0; ///< Excludes this node.
     std::size_t openJobs = 0;
--- a/src/node/nodestate.cpp
+++ b/src/node/nodestate.cpp
@@ -64,6 +64,11 @@
     return replicaMirror_.failing() || net::loopNow() - replicaMirror_.recoveredAt() < RegistryUnstableTime;
 }
 
+absl::Duration Node::replicaViewAge(Instant now) const
+{
+    return replicaMirror_.running() ? replicaMirror_.age(now) : replicaFollower_.silence(now);
+}
+
 bool Node::replicasCurrent() const
 {
     if (replicaMirror_.running()) {
--- a/src/objects/objectmirror.cpp
+++ b/src/objects/objectmirror.cpp
@@ -139,7 +139,8 @@
                        {{"kind", kind_},
                         {"outcome", nameOf(reply.outcome)},
                         {"http_status", reply.httpStatus},
-                        {"revision", watchRevision_}});
+                        {"revision", watchRevision_},
+                        {"view_age_ms", absl::ToInt64Milliseconds(age(failingSince_))}});
     }
     const absl::Duration delay =
         std::min(settings_.maxBackoff, settings_.initialBackoff * (1 << std::min(failures_ - 1, 8)));
--- a/src/objects/objectmirror.h
+++ b/src/objects/objectmirror.h
@@ -63,8 +63,11 @@
     bool failing() const { return failures_ > 0; }
     /// True if the mirror is complete and receives changes.
     bool current() const { return synced_ && !failing(); }
-    /// Time of the last response of the store; the default value of Instant before the first one.
-    Instant lastResponseAt() const { return lastResponseAt_; }
+    /// Time since the last response of the store; infinite before the first one.
+    absl::Duration age(Instant now) const
+    {
+        return lastResponseAt_ == Instant() ? absl::InfiniteDuration() : now - lastResponseAt_;
+    }
     /// End of the last store outage; the default value of Instant if there was none.
     Instant recoveredAt() const { return recoveredAt_; }
 
--- a/tests/node/nodetest.cpp
+++ b/tests/node/nodetest.cpp
@@ -163,6 +163,8 @@
     CHECK(has("currantlug_store_call_seconds_bucket"));
     CHECK(has("currantlug_request_seconds_count"));
     CHECK(has("currantlug_items{state=\"waiting\"} 0"));
+    CHECK(has("currantlug_view_age_seconds{view=\"config\"}"));
+    CHECK(has("currantlug_view_age_seconds{view=\"replicas\"}"));
     // Ids and keys must not become labels, because their number is unbounded.
     CHECK_FALSE(has("r1"));
     CHECK_FALSE(has("known-key"));
