--- a/tests/fakes/inmemoryobjectstore.h
+++ b/tests/fakes/inmemoryobjectstore.h
@@ -29,8 +29,8 @@
     }
 
     void setFault(Fault fault) { fault_ = std::move(fault); }
-    /// While silent, the store accepts watch calls but never responds. Such a call fails with an unknown outcome
-    /// `watchGrace` after its wait has elapsed.
+    /// While silent, the store accepts watch calls but never responds, and forgets the calls that are waiting. Such a
+    /// call fails with an unknown outcome `watchGrace` after its wait has elapsed.
     void setSilent(bool silent, absl::Duration watchGrace)
     {
         silent_ = silent;
@@ -157,16 +157,16 @@
     void watch(const std::string &kind, std::uint64_t after, Instant until, objects::StoreCallback done)
     {
         ++calls_["watch"];
-        if (silent_) {
-            net::runAfter(loop_, until + watchGrace_ - net::loopNow(),
-                          [this, done = std::move(done)] { done(reply(Outcome::Unknown)); });
-            return;
-        }
         poll(kind, after, until, std::move(done));
     }
 
     void poll(const std::string &kind, std::uint64_t after, Instant until, objects::StoreCallback done)
     {
+        if (silent_) {
+            net::runAfter(loop_, until + watchGrace_ - net::loopNow(),
+                          [this, done = std::move(done)] { done(reply(Outcome::Unknown)); });
+            return;
+        }
         Reply result = reply(Outcome::Done);
         const Outcome outcome = fault_ ? fault_("watch", kind, "") : Outcome::Done;
         if (outcome != Outcome::Done) {
--- a/tests/node/nodetest.cpp
+++ b/tests/node/nodetest.cpp
@@ -96,7 +96,13 @@
         binding.configName = ConfigName;
         binding.parseConfig = singleRouteConfig;
         binding.replicaKind = "replicas";
-        binding.parseReplica = [](const objects::StoredObject &) { return std::optional<serving::ReplicaEntry>(); };
+        binding.parseReplica = [](const objects::StoredObject &object) {
+            serving::ReplicaEntry entry;
+            entry.id = object.name;
+            entry.service = "desk";
+            entry.draining = object.value.contains("draining");
+            return std::optional(entry);
+        };
         return binding;
     }
 
@@ -146,6 +152,34 @@
     CHECK(fixture.statusOf("/orders/1", "other-key") == 401);
 }
 
+// Guards against routes, keys and replicas of before a silence of the store, seconds after its return.
+TEST_CASE("a watch that the store never answers doesn't keep a node's view behind after the store's return")
+{
+    // A node counts as in touch again this long after a store outage, and must then follow configuration and replicas.
+    constexpr absl::Duration ContactTime = absl::Seconds(4);
+    constexpr absl::Duration WatchGrace = absl::Seconds(1); // That of the platform's client.
+    NodeFixture fixture;
+    fixture.store.put("replicas", "r1", Json::object());
+    const auto metric = [&fixture](const char *line) { return fixture.node.metrics().find(line) != std::string::npos; };
+    REQUIRE(runUntil(fixture.loop, [&] {
+        return fixture.node.ready() && metric("currantlug_replicas{service=\"desk\",condition=\"ready\"} 1");
+    }));
+    // Both watches wait for changes when the store falls silent.
+    runFor(fixture.loop, std::chrono::milliseconds(1500));
+    fixture.store.setSilent(true, WatchGrace);
+    runFor(fixture.loop, std::chrono::milliseconds(50));
+    fixture.store.setSilent(false, WatchGrace);
+    const Instant returned = net::loopNow();
+    fixture.store.put(ConfigKind, ConfigName, Json::object());
+    const std::string newVersion = "currantlug_config_version " + std::to_string(fixture.store.revision());
+    fixture.store.put("replicas", "r1", {{"draining", true}});
+    REQUIRE(runUntil(fixture.loop, [&] { return metric(newVersion.c_str()); }));
+    CHECK(net::loopNow() - returned < ContactTime);
+    REQUIRE(runUntil(fixture.loop,
+                     [&] { return metric("currantlug_replicas{service=\"desk\",condition=\"draining\"} 1"); }));
+    CHECK(net::loopNow() - returned < ContactTime);
+}
+
 // Guards against the loss of metrics that on-call engineers are told to look at.
 TEST_CASE("metrics include refusals, store calls and the state of the node")
 {
