Bound the wait of watch calls by the age that a view of the store may have

Cause: a watch call that waits when the store falls silent is never answered. It fails only after its wait and the allowance for the reply, 15 s and 1 s, and until then the mirror counts as current: "the last call didn't fail" was taken for "what it said is recent". All nodes' calls of a kind are hit by one silence, so no peer knows better. Same cause: the published weight versions and the retirements, which the controller mirrors.

Ruled out: failed connections (no status, exactly 16.0 s after the call on all eight nodes); other calls were answered all the while.

Change: the wait follows from the time in which configurations must be in force and leaving replicas avoided (settings bounds config_apply_ms and drain_ms, 2.5 s: 1.1 s; 4 s: 1.5 s), less what it takes to notice a forgotten call, ask again and pass it on to nodes that follow. It holds for the configuration, the replicas, the versions and the retirements. A tenth of a second after a failure is unchanged.

--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -26,7 +26,7 @@
     , usage_(
           context_.counts, context_.store, context_.peers, context_.duties.reportUsage, [this] { return holder(); },
           context_.settings.usage)
-    , versions_(context_.loop, context_.store, context_.kinds.versions, {},
+    , versions_(context_.loop, context_.store, context_.kinds.versions, context_.settings.mirror,
                 [this](const objects::ObjectChange &change) {
                     const auto published = context_.kinds.parseVersion(change.object);
                     if (!change.removed && published) {
@@ -38,7 +38,7 @@
                         }
                     }
                 })
-    , retirements_(context_.loop, context_.store, context_.kinds.retirements, {},
+    , retirements_(context_.loop, context_.store, context_.kinds.retirements, context_.settings.mirror,
                    [this](const objects::ObjectChange &change) { onRetirement(change); })
 {
 }
--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -42,6 +42,7 @@
 struct ControllerSettings
 {
     UsageReporterSettings usage;
+    objects::MirrorSettings mirror; ///< For published weight versions and retirements.
     absl::Duration scalePeriod = absl::Milliseconds(500);
     /// Time from acquiring the lease to reading the desired replica counts. If none are stored, the counts of the
     /// replicas that serve at that moment become the desired ones.
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -42,11 +42,18 @@
 // New nodes make themselves known by their probes; the registrations only make sure that none stays unknown.
 constexpr absl::Duration NodePollPeriod = absl::Seconds(20);
 
-objects::MirrorSettings replicaMirrorSettings()
+objects::MirrorSettings boundedMirrorSettings(const NodeSettings &settings)
 {
-    objects::MirrorSettings settings;
-    settings.batchDelay = ReplicaBatchDelay;
-    return settings;
+    objects::MirrorSettings mirror;
+    mirror.watchWait = boundedWatchWait(settings.viewAgeLimit());
+    return mirror;
+}
+
+objects::MirrorSettings replicaMirrorSettings(const NodeSettings &settings)
+{
+    objects::MirrorSettings mirror = boundedMirrorSettings(settings);
+    mirror.batchDelay = ReplicaBatchDelay;
+    return mirror;
 }
 
 serving::ReplicaTableSettings tableSettings(const NodeSettings &settings)
@@ -102,9 +109,9 @@
                  [this](serving::RouteKind kind, std::string_view outcome, int status, absl::Duration elapsed) {
                      metrics_.recordRequest(kind, outcome, status, elapsed);
                  }})
-    , configMirror_(loop, binding_.store, binding_.configKind, {},
+    , configMirror_(loop, binding_.store, binding_.configKind, boundedMirrorSettings(settings_),
                     [this](const ObjectChange &change) { onConfigObject(change); })
-    , replicaMirror_(loop, binding_.store, binding_.replicaKind, replicaMirrorSettings(),
+    , replicaMirror_(loop, binding_.store, binding_.replicaKind, replicaMirrorSettings(settings_),
                      [this](const ObjectChange &change) { onReplicaObject(change, registryUnstable()); })
     , nodeMirror_(loop, binding_.store, std::string(NodeKind), nodeMirrorSettings(),
                   [this](const ObjectChange &change) { onNodeObject(change); })
@@ -171,6 +178,7 @@
         leaseSettings(settings_),
         {}};
     context.settings.reacquireDelay = settings_.leaseTtl * 1.5;
+    context.settings.mirror = boundedMirrorSettings(settings_);
     controller_ = std::make_unique<control::Controller>(std::move(context));
     mesh_.setHandler([this](const std::string &method, const Json &body, std::function<void(Json)> reply) {
         return peerCall(method, body, std::move(reply));
--- a/src/node/nodesettings.h
+++ b/src/node/nodesettings.h
@@ -5,6 +5,7 @@
 
 #include <absl/time/time.h>
 
+#include <algorithm>
 #include <map>
 #include <string>
 #include <vector>
@@ -31,9 +32,14 @@
     bool ordersReplicas = false;
     absl::Duration grace = absl::Seconds(8); ///< Grace period from the stop signal to the kill.
     absl::Duration leaseTtl = absl::Seconds(3); ///< Two different holders must not act within this time.
+    absl::Duration configApplyTime = absl::Milliseconds(2500); ///< Within which a configuration must be in force.
+    absl::Duration drainTime = absl::Milliseconds(2500); ///< Within which a leaving replica must get no more requests.
     absl::Duration usageWindow = absl::Seconds(5);
     absl::Duration jobRetention = absl::Seconds(120); ///< Time for which a job can be read after its submission.
     absl::Duration maxAddressTtl = absl::Seconds(5); ///< Upper bound for the TTL of answers to address queries.
+
+    /// Maximum age of what a node knows of the configuration and the replicas.
+    absl::Duration viewAgeLimit() const { return std::min(configApplyTime, drainTime); }
 };
 
 } // namespace currantlug::node
--- a/src/node/watchplan.cpp
+++ b/src/node/watchplan.cpp
@@ -1,4 +1,4 @@
-// Ranking of the nodes of an availability zone.
+// Ranking of the nodes of an availability zone, and the wait of watch calls.
 #include "node/watchplan.h"
 
 #include "core/hash.h"
@@ -7,6 +7,23 @@
 
 namespace currantlug::node {
 
+namespace {
+
+// From the failure of a watch call that the store has forgotten to the response to the next call.
+constexpr absl::Duration WatchRetryTime = absl::Milliseconds(400);
+// Until a node that follows has polled a source and fetched what it lacks.
+constexpr absl::Duration FollowTime = absl::Milliseconds(600);
+// Below this the watches of a quiet fleet would make up most of its store calls.
+constexpr absl::Duration MinWatchWait = absl::Milliseconds(500);
+
+} // namespace
+
+absl::Duration boundedWatchWait(absl::Duration ageLimit)
+{
+    const absl::Duration afterWait = objects::WatchReplyAllowance + WatchRetryTime;
+    return std::max(MinWatchWait, std::min(ageLimit - afterWait, MaxRecoveryTime - afterWait - FollowTime));
+}
+
 WatchPlan planWatch(const WatchPlanSettings &settings, const std::string &self, std::vector<std::string> zoneNodes)
 {
     if (std::find(zoneNodes.begin(), zoneNodes.end(), self) == zoneNodes.end()) {
--- a/src/node/watchplan.h
+++ b/src/node/watchplan.h
@@ -1,4 +1,5 @@
-// Decides which nodes watch the registry of replicas in the object store, and from which nodes the others take it.
+// Decides which nodes watch the registry of replicas in the object store, from which nodes the others take it, and how
+// long watch calls wait.
 //
 // Load: replicas change their entries whenever they load weights, so each watch of the registry makes about one call
 // a second. In an availability zone with many nodes only some of them watch; the calls then don't grow with the fleet.
@@ -7,6 +8,8 @@
 #ifndef CURRANTLUG_NODE_WATCHPLAN_H
 #define CURRANTLUG_NODE_WATCHPLAN_H
 
+#include "objects/objectport.h"
+
 #include <absl/time/time.h>
 
 #include <string>
@@ -38,6 +41,13 @@
     }
 };
 
+/// Wait of a watch call with which a view of the store stays younger than `ageLimit` even if the store forgets the
+/// call, and with which a node that follows is up to date within MaxRecoveryTime after an outage of the store.
+absl::Duration boundedWatchWait(absl::Duration ageLimit);
+
+/// From the end of an outage of the store until all nodes, those that follow included, have its contents.
+inline constexpr absl::Duration MaxRecoveryTime = absl::Milliseconds(3500);
+
 /// Plans for the node `self`. `zoneNodes` are the nodes of its zone that are in contact, aren't stopping and reach the
 /// object store; `self` is added if it is missing.
 WatchPlan planWatch(const WatchPlanSettings &settings, const std::string &self, std::vector<std::string> zoneNodes);
--- a/src/objects/objectmirror.h
+++ b/src/objects/objectmirror.h
@@ -14,8 +14,9 @@
 
 struct MirrorSettings
 {
-    /// Maximum duration of one watch call. The store keeps 20 s of history: a call that waits longer for a change ends
-    /// without the revision to continue from, and everything must be listed again.
+    /// Maximum duration of one watch call. The store may forget a waiting call and never respond to it, which isn't
+    /// noticed before this time and WatchReplyAllowance have passed: the wait bounds the age of what the mirror knows.
+    /// It must be shorter than the store's history of 20 s, or else everything must be listed again after each call.
     absl::Duration watchWait = absl::Seconds(15);
     /// If not zero, the objects are listed with this period instead of being watched. Lists after the first one may be
     /// some seconds old.
@@ -61,7 +62,8 @@
     std::uint64_t revision() const { return watchRevision_; }
     /// True if the last call failed.
     bool failing() const { return failures_ > 0; }
-    /// True if the mirror is complete and receives changes.
+    /// True if the mirror is complete and its last call didn't fail. Changes of the last `watchWait` and
+    /// WatchReplyAllowance may be missing.
     bool current() const { return synced_ && !failing(); }
     /// Time since the last response of the store; infinite before the first one.
     absl::Duration age(Instant now) const
--- a/src/objects/objectport.h
+++ b/src/objects/objectport.h
@@ -68,6 +68,9 @@
 
 using StoreCallback = std::function<void(StoreReply)>;
 
+/// A watch call without a response fails with an unknown outcome this long after its wait has elapsed.
+inline constexpr absl::Duration WatchReplyAllowance = absl::Seconds(1);
+
 struct ObjectPort
 {
     std::function<void(std::string kind, std::string name, StoreCallback)> get;
--- a/tests/adapter/codectest.cpp
+++ b/tests/adapter/codectest.cpp
@@ -29,7 +29,7 @@
     "listen":{"front":"10.0.0.1:80","ready":"10.0.0.1:81","control":"10.0.0.1:82","directory":"10.0.0.1:83"},
     "seeds":["10.0.0.2:82","junk",7],"platform":{"address":"10.0.0.9:90"},
     "cloud_api":{"address":"10.0.0.8:91","duties":["usage","autoscale"]},
-    "bounds":{"grace_s":6,"lease_ttl_ms":2000,"usage_window_s":4},"something_new":{"x":1}})";
+    "bounds":{"grace_s":6,"lease_ttl_ms":2000,"usage_window_s":4,"config_apply_ms":3000,"drain_ms":2000},"something_new":{"x":1}})";
 
 } // namespace
 
@@ -45,6 +45,8 @@
     CHECK(settings->ordersReplicas);
     CHECK(settings->grace == absl::Seconds(6));
     CHECK(settings->leaseTtl == absl::Seconds(2));
+    CHECK(settings->configApplyTime == absl::Seconds(3));
+    CHECK(settings->viewAgeLimit() == absl::Seconds(2));
 }
 
 // Guards against a process that starts half configured: every problem is named at once.
--- a/tests/node/nodetest.cpp
+++ b/tests/node/nodetest.cpp
@@ -103,6 +103,11 @@
             entry.draining = object.value.contains("draining");
             return std::optional(entry);
         };
+        binding.controlKinds.versions = "versions";
+        binding.controlKinds.parseVersion = [](const objects::StoredObject &object) {
+            return std::optional(control::PublishedVersion{object.name, object.value.get<std::uint64_t>()});
+        };
+        binding.controlKinds.retirements = "retirements";
         return binding;
     }
 
@@ -162,9 +167,10 @@
     fixture.store.put("replicas", "r1", Json::object());
     const auto metric = [&fixture](const char *line) { return fixture.node.metrics().find(line) != std::string::npos; };
     REQUIRE(runUntil(fixture.loop, [&] {
-        return fixture.node.ready() && metric("currantlug_replicas{service=\"desk\",condition=\"ready\"} 1");
+        return fixture.node.ready() && metric("currantlug_leading 1")
+            && metric("currantlug_replicas{service=\"desk\",condition=\"ready\"} 1");
     }));
-    // Both watches wait for changes when the store falls silent.
+    // All watches wait for changes when the store falls silent.
     runFor(fixture.loop, std::chrono::milliseconds(1500));
     fixture.store.setSilent(true, WatchGrace);
     runFor(fixture.loop, std::chrono::milliseconds(50));
@@ -173,11 +179,15 @@
     fixture.store.put(ConfigKind, ConfigName, Json::object());
     const std::string newVersion = "currantlug_config_version " + std::to_string(fixture.store.revision());
     fixture.store.put("replicas", "r1", {{"draining", true}});
+    fixture.store.put("versions", "m", 2);
     REQUIRE(runUntil(fixture.loop, [&] { return metric(newVersion.c_str()); }));
     CHECK(net::loopNow() - returned < ContactTime);
     REQUIRE(runUntil(fixture.loop,
                      [&] { return metric("currantlug_replicas{service=\"desk\",condition=\"draining\"} 1"); }));
     CHECK(net::loopNow() - returned < ContactTime);
+    REQUIRE(runUntil(fixture.loop,
+                     [&] { return metric("currantlug_events_total{subsystem=\"weights\",event=\"named\"} 1"); }));
+    CHECK(net::loopNow() - returned < ContactTime);
 }
 
 // Guards against the loss of metrics that on-call engineers are told to look at.
--- a/tests/node/replicafeedtest.cpp
+++ b/tests/node/replicafeedtest.cpp
@@ -102,6 +102,21 @@
     }
 }
 
+// Guards against watch calls that are longer than what a node may be behind, and against a wait that no store bears.
+TEST_CASE("the wait of a watch call leaves time to notice that the store forgot it")
+{
+    for (const int limitMs : {300, 1000, 2500, 4000, 14000}) {
+        CAPTURE(limitMs);
+        const absl::Duration limit = absl::Milliseconds(limitMs);
+        const absl::Duration wait = node::boundedWatchWait(limit);
+        CHECK(wait >= absl::Milliseconds(500));
+        CHECK(wait + objects::WatchReplyAllowance < node::MaxRecoveryTime);
+        if (limitMs >= 2500) {
+            CHECK(wait + objects::WatchReplyAllowance < limit);
+        }
+    }
+}
+
 // Guards against a wave of new watches, which would exceed the rates of the store, when one watcher is lost.
 TEST_CASE("a lost watcher is replaced by one node")
 {
