Fetch a newer configuration from the peer that has it

Callers of a node whose own watch of the configuration is behind are refused new routes for as long as that lasts.

Cause: syncFromPeer() noticed that some peer is ahead, but asked the first peer that reports contact with the store, which may be as far behind. Two such nodes ask each other for ever.

Change: the peer with the highest configuration revision is asked.

--- a/src/node/nodestate.cpp
+++ b/src/node/nodestate.cpp
@@ -4,6 +4,7 @@
 
 #include "telemetry/log.h"
 
+#include <algorithm>
 #include <set>
 #include <utility>
 
@@ -281,16 +282,17 @@
 
 void Node::syncFromPeer()
 {
-    bool configOutdated = false;
-    for (const NodeInfo &node : mesh_.contacts()) {
-        configOutdated =
-            configOutdated || (config_ ? node.configRevision > config_->revision : node.configRevision > 0);
-    }
+    const std::vector<NodeInfo> contacts = mesh_.contacts();
+    const auto newest =
+        std::max_element(contacts.begin(), contacts.end(), [](const NodeInfo &one, const NodeInfo &other) {
+            return one.configRevision < other.configRevision;
+        });
+    const bool configOutdated = newest != contacts.end() && newest->configRevision > (config_ ? config_->revision : 0);
     const bool mirrorsStale = !storeReached() || !replicasCurrent();
     if (syncingFromPeer_ || (!configOutdated && !mirrorsStale)) {
         return;
     }
-    std::string peer = mesh_.peerWithStore();
+    std::string peer = configOutdated ? newest->name : mesh_.peerWithStore();
     if (peer.empty() && !config_ && !mesh_.live().empty()) {
         peer = mesh_.live().front();
     }
--- a/tests/node/replicafeedtest.cpp
+++ b/tests/node/replicafeedtest.cpp
@@ -268,10 +268,12 @@
 class Fleet
 {
 public:
-    explicit Fleet(std::size_t count)
+    /// `maxWatchWait`: the store ends watch calls after this time, so that a test needn't wait for their end.
+    explicit Fleet(std::size_t count, absl::Duration maxWatchWait = absl::Milliseconds(300))
         : store(loop)
+        , maxWatchWait_(maxWatchWait)
     {
-        store.put("settings", "current", Json::object());
+        putConfig();
         members_.reserve(count);
         for (std::size_t i = 0; i < count; ++i) {
             members_.push_back(std::make_unique<Member>(*this, "node-" + std::to_string(i)));
@@ -324,6 +326,23 @@
         });
     }
     void turnAway(std::size_t index, bool away) { members_[index]->turnedAway = away; }
+    /// The node's watch of the configuration reports no changes from now on.
+    void hideConfigChanges(std::size_t index) { members_[index]->configChangesHidden = true; }
+    /// True if each node has the newest configuration.
+    bool allConfigured() const
+    {
+        for (std::size_t i = 0; i < members_.size(); ++i) {
+            if (metric(i, "currantlug_config_version") != static_cast<double>(configVersion_)) {
+                return false;
+            }
+        }
+        return true;
+    }
+    void putConfig()
+    {
+        store.put("settings", "current", Json::object());
+        configVersion_ = store.revision();
+    }
 
     net::Loop loop;
     InMemoryObjectStore store;
@@ -348,7 +367,11 @@
             binding.store = portOf(fleet);
             binding.configKind = "settings";
             binding.configName = "current";
-            binding.parseConfig = [](const objects::StoredObject &) { return serving::GatewayConfig(); };
+            binding.parseConfig = [](const objects::StoredObject &object) {
+                serving::GatewayConfig config;
+                config.version = object.revision;
+                return std::optional(config);
+            };
             binding.replicaKind = "replicas";
             binding.parseReplica = [](const objects::StoredObject &object) {
                 serving::ReplicaEntry entry;
@@ -374,11 +397,21 @@
             port.list = [this, inner, refuse](std::string kind, std::string after, objects::StoreCallback done) {
                 turnedAway ? refuse(done) : inner.list(std::move(kind), std::move(after), std::move(done));
             };
-            port.watch = [this, inner, refuse](std::string kind, std::uint64_t revision, absl::Duration wait,
-                                               objects::StoreCallback done) {
-                turnedAway ? refuse(done)
-                           : inner.watch(std::move(kind), revision,
-                                         std::min(wait, absl::Duration(absl::Milliseconds(300))), std::move(done));
+            port.watch = [this, &fleet, inner, refuse](std::string kind, std::uint64_t revision, absl::Duration wait,
+                                                       objects::StoreCallback done) {
+                const absl::Duration shortened = std::min(wait, fleet.maxWatchWait_);
+                if (turnedAway) {
+                    refuse(done);
+                } else if (configChangesHidden && kind == "settings") {
+                    net::runAfter(fleet.loop, shortened, [revision, done = std::move(done)] {
+                        objects::StoreReply reply;
+                        reply.outcome = StoreOutcome::Done;
+                        reply.asOf = revision;
+                        done(reply);
+                    });
+                } else {
+                    inner.watch(std::move(kind), revision, shortened, std::move(done));
+                }
             };
             return port;
         }
@@ -386,14 +419,20 @@
         std::string name;
         std::string address;
         bool turnedAway = false;
+        bool configChangesHidden = false;
         net::HttpClient client;
         net::HttpServer server;
         std::unique_ptr<node::Node> node;
     };
 
+    absl::Duration maxWatchWait_;
+    std::uint64_t configVersion_ = 0;
     std::vector<std::unique_ptr<Member>> members_;
 };
 
+/// A node counts as in touch again this long after a disturbance, and must then follow the store.
+constexpr absl::Duration ContactTime = absl::Seconds(4);
+
 } // namespace
 
 // Guards against nodes that use a replica that left, or don't learn of a new one, because the nodes that watch the
@@ -422,3 +461,19 @@
     }
     REQUIRE(fleet.waitFor([&fleet] { return fleet.allHave(1) && fleet.watchers().size() <= 3; }));
 }
+
+// Guards against a node that never learns of a newer configuration because it asks a peer that is as far behind.
+TEST_CASE("a node fetches a newer configuration from the peer that has it")
+{
+    Fleet fleet(4);
+    REQUIRE(fleet.waitFor([&fleet] { return fleet.allConfigured(); }));
+    for (const std::size_t index : {0, 1, 2}) {
+        fleet.hideConfigChanges(index);
+    }
+    // Watches that are under way end before the change.
+    runFor(fleet.loop, std::chrono::milliseconds(400));
+    fleet.putConfig();
+    const Instant changed = net::loopNow();
+    REQUIRE(fleet.waitFor([&fleet] { return fleet.allConfigured(); }));
+    CHECK(net::loopNow() - changed < ContactTime);
+}
