Let nodes that follow learn of a newer configuration from their sources

Change: a source names the revision of its configuration with each poll, also while its replicas aren't current, and the follower fetches a newer one from it at once. Its own watch of the configuration keeps the long wait; ObjectMirror::setWatchWait() replaces a call in progress when the node begins to watch.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -116,7 +116,13 @@
     , nodeMirror_(loop, binding_.store, std::string(NodeKind), nodeMirrorSettings(),
                   [this](const ObjectChange &change) { onNodeObject(change); })
     , replicaJournal_(incarnation_)
-    , replicaFollower_(mesh_, {}, [this](const ReplicaDelta &delta) { onReplicaDelta(delta); })
+    , replicaFollower_(mesh_, {},
+                       {[this](const ReplicaDelta &delta) { onReplicaDelta(delta); },
+                        [this](const std::string &source, std::uint64_t revision) {
+                            if (revision > configRevision()) {
+                                fetchSnapshot(source);
+                            }
+                        }})
     , lastTickAt_(net::loopNow())
     , startedAt_(net::loopNow())
 {
@@ -274,7 +280,7 @@
     info.ready = ready();
     info.storeReached = storeReached();
     info.leading = controller_ != nullptr && controller_->leading();
-    info.configRevision = config_ ? config_->revision : 0;
+    info.configRevision = configRevision();
     info.processorShare = settings_.processorShare;
     info.holdsTexts = jobs_ != nullptr && jobs_->holdsTexts();
     return info;
@@ -435,7 +441,8 @@
     }
     if (method == ReplicaFollower::Method) {
         // Only a node that watches is a source: a chain of followers would add up their delays.
-        reply(ReplicaFollower::answer(replicaJournal_, body, replicaMirror_.current(), registryUnstable()));
+        reply(ReplicaFollower::answer(replicaJournal_, body, replicaMirror_.current(), registryUnstable(),
+                                      configRevision()));
         return true;
     }
     if (method == "node/snapshot") {
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -141,12 +141,16 @@
     void verifyConfig();
     /// The configuration; null as long as there is none or it must not be used.
     const serving::GatewayConfig *usableConfig() const { return config_ && !verifying_ ? &*config_ : nullptr; }
+    /// Revision of the configuration; 0 if there is none.
+    std::uint64_t configRevision() const { return config_ ? config_->revision : 0; }
     /// False while neither this node nor any peer in contact reaches the object store. A newer configuration may then
     /// have added what the one in force lacks.
     bool configCurrent() const;
     /// Fetches configuration and replicas from a peer while the object store can't be reached, or while a peer has a
     /// newer configuration.
     void syncFromPeer();
+    /// Fetches configuration and replicas from a peer, unless a fetch is under way.
+    void fetchSnapshot(const std::string &peer);
     void applySnapshot(const Json &reply);
     /// Configuration, if newer than `configRevision`, and replicas, if up to date, as sent to a peer.
     Json snapshot(std::uint64_t configRevision) const;
--- a/src/node/nodemetrics.cpp
+++ b/src/node/nodemetrics.cpp
@@ -121,7 +121,8 @@
         static_cast<double>(status.configVersion));
     for (const auto &[view, age] : status.viewAges) {
         registry_
-            .gauge("currantlug_view_age_seconds", "Time since the store, or the node followed, last confirmed the view.",
+            .gauge("currantlug_view_age_seconds",
+                   "Time since the store, or the node followed, last confirmed the view.",
                    {{"view", std::string(nameOf(view))}})
             .set(absl::ToDoubleSeconds(age));
     }
--- a/src/node/nodestate.cpp
+++ b/src/node/nodestate.cpp
@@ -173,6 +173,8 @@
     }
     const WatchPlanSettings planSettings;
     watchPlan_ = planWatch(planSettings, settings_.name, std::move(zoneNodes));
+    configMirror_.setWatchWait(replicaMirror_.running() ? boundedWatchWait(settings_.viewAgeLimit())
+                                                        : FollowerWatchWait);
     // The leader orders replicas and weights, so it knows them at first hand.
     if (watchPlan_.watches || controller_->leading()) {
         setWatching(true, "planned");
@@ -287,20 +289,26 @@
         std::max_element(contacts.begin(), contacts.end(), [](const NodeInfo &one, const NodeInfo &other) {
             return one.configRevision < other.configRevision;
         });
-    const bool configOutdated = newest != contacts.end() && newest->configRevision > (config_ ? config_->revision : 0);
+    const bool configOutdated = newest != contacts.end() && newest->configRevision > configRevision();
     const bool mirrorsStale = !storeReached() || !replicasCurrent();
-    if (syncingFromPeer_ || (!configOutdated && !mirrorsStale)) {
+    if (!configOutdated && !mirrorsStale) {
         return;
     }
     std::string peer = configOutdated ? newest->name : mesh_.peerWithStore();
     if (peer.empty() && !config_ && !mesh_.live().empty()) {
         peer = mesh_.live().front();
     }
-    if (peer.empty()) {
+    if (!peer.empty()) {
+        fetchSnapshot(peer);
+    }
+}
+
+void Node::fetchSnapshot(const std::string &peer)
+{
+    if (std::exchange(syncingFromPeer_, true)) {
         return;
     }
-    syncingFromPeer_ = true;
-    mesh_.call(peer, "node/snapshot", {{"config", config_ ? config_->revision : 0}}, SnapshotTimeout,
+    mesh_.call(peer, "node/snapshot", {{"config", configRevision()}}, SnapshotTimeout,
                [this](const absl::StatusOr<Json> &reply) {
                    syncingFromPeer_ = false;
                    if (reply.ok() && reply->is_object()) {
--- a/src/node/replicafollower.cpp
+++ b/src/node/replicafollower.cpp
@@ -42,6 +42,9 @@
         return; // This node watches the store now.
     }
     const Instant now = net::loopNow();
+    if (reply.ok()) {
+        handlers_.onConfigRevision(source, fieldOr<std::uint64_t>(*reply, "config", 0));
+    }
     const auto delta = reply.ok() ? parseReplicaDelta(*reply) : std::nullopt;
     if (!delta) {
         telemetry::log(Level::Info, "node", "source_failed",
@@ -57,18 +60,21 @@
     sequence_ = delta->sequence;
     lastAnswerAt_ = now;
     answered_ = true;
-    onDelta_(*delta);
+    handlers_.onDelta(*delta);
 }
 
-Json ReplicaFollower::answer(const ReplicaJournal &journal, const Json &body, bool current, bool registryUnstable)
+Json ReplicaFollower::answer(const ReplicaJournal &journal, const Json &body, bool current, bool registryUnstable,
+                             std::uint64_t configRevision)
 {
-    if (!current) {
-        return Json::object();
+    Json answer = Json::object();
+    if (current) {
+        ReplicaDelta delta =
+            journal.changesSince(fieldOr<std::string>(body, "epoch", ""), fieldOr<std::uint64_t>(body, "sequence", 0));
+        delta.registryUnstable = registryUnstable;
+        answer = toJson(delta);
     }
-    ReplicaDelta delta =
-        journal.changesSince(fieldOr<std::string>(body, "epoch", ""), fieldOr<std::uint64_t>(body, "sequence", 0));
-    delta.registryUnstable = registryUnstable;
-    return toJson(delta);
+    answer["config"] = configRevision;
+    return answer;
 }
 
 } // namespace currantlug::node
--- a/src/node/replicafollower.h
+++ b/src/node/replicafollower.h
@@ -19,15 +19,22 @@
     absl::Duration timeout = absl::Milliseconds(400); ///< Several round trips between the zones of a region.
 };
 
+struct ReplicaFollowerHandlers
+{
+    std::function<void(const ReplicaDelta &)> onDelta;
+    /// Receives the revision of a source's configuration with each answer, 0 if the source has none.
+    std::function<void(const std::string &source, std::uint64_t revision)> onConfigRevision;
+};
+
 class ReplicaFollower
 {
 public:
     static constexpr const char *Method = "node/replicas";
 
-    ReplicaFollower(PeerMesh &mesh, ReplicaFollowerSettings settings, std::function<void(const ReplicaDelta &)> onDelta)
+    ReplicaFollower(PeerMesh &mesh, ReplicaFollowerSettings settings, ReplicaFollowerHandlers handlers)
         : mesh_(mesh)
         , settings_(settings)
-        , onDelta_(std::move(onDelta))
+        , handlers_(std::move(handlers))
     {
     }
 
@@ -42,15 +49,16 @@
     absl::Duration silence(Instant now) const { return now - lastAnswerAt_; }
 
     /// Answer of a source to a poll. `body` has the epoch and the sequence number of the last change that the follower
-    /// knows. The answer is empty, which the follower takes for a failure, if the source isn't `current`.
-    static Json answer(const ReplicaJournal &journal, const Json &body, bool current, bool registryUnstable);
+    /// knows. If the source isn't `current`, the answer has no replicas, which the follower takes for a failure.
+    static Json answer(const ReplicaJournal &journal, const Json &body, bool current, bool registryUnstable,
+                       std::uint64_t configRevision);
 
 private:
     void onReply(const std::string &source, const absl::StatusOr<Json> &reply);
 
     PeerMesh &mesh_;
     ReplicaFollowerSettings settings_;
-    std::function<void(const ReplicaDelta &)> onDelta_;
+    ReplicaFollowerHandlers handlers_;
     std::vector<std::string> sources_;
     std::size_t next_ = 0; ///< Index of the source that is polled next.
     std::string epoch_; ///< Of the source that sent the last change.
--- a/src/node/watchplan.h
+++ b/src/node/watchplan.h
@@ -45,6 +45,9 @@
 /// call, and with which a node that follows is up to date within MaxRecoveryTime after an outage of the store.
 absl::Duration boundedWatchWait(absl::Duration ageLimit);
 
+/// Wait of a watch call of the configuration at a node that follows: its sources tell it of changes as well.
+inline constexpr absl::Duration FollowerWatchWait = absl::Seconds(15);
+
 /// From the end of an outage of the store until all nodes, those that follow included, have its contents.
 inline constexpr absl::Duration MaxRecoveryTime = absl::Milliseconds(3500);
 
--- a/src/objects/objectmirror.cpp
+++ b/src/objects/objectmirror.cpp
@@ -27,6 +27,16 @@
     list("");
 }
 
+void ObjectMirror::setWatchWait(absl::Duration wait)
+{
+    const bool shorter = wait < settings_.watchWait;
+    settings_.watchWait = wait;
+    if (shorter && running_ && synced_) {
+        ++generation_;
+        watch();
+    }
+}
+
 void ObjectMirror::list(std::string after)
 {
     if (!running_) {
--- a/src/objects/objectmirror.h
+++ b/src/objects/objectmirror.h
@@ -50,6 +50,8 @@
         synced_ = false;
         failures_ = 0;
     }
+    /// Changes the maximum duration of a watch call. A call in progress that may wait for longer is replaced.
+    void setWatchWait(absl::Duration wait);
     /// Makes the list after the next start report all objects, and none as removed. Call while it is stopped.
     void forget() { knownRevisions_.clear(); }
     bool running() const { return running_; }
@@ -88,7 +90,8 @@
     MirrorSettings settings_;
     ChangeHandler changeHandler_;
     bool running_ = false;
-    std::uint64_t generation_ = 0; ///< Changed by stop(), so that replies to earlier calls are ignored.
+    /// Changed by stop() and when a call is replaced, so that replies to earlier calls are ignored.
+    std::uint64_t generation_ = 0;
     bool synced_ = false;
     int failures_ = 0;
     std::uint64_t watchRevision_ = 0; ///< The next watch call returns the changes after this revision.
--- a/tests/node/replicafeedtest.cpp
+++ b/tests/node/replicafeedtest.cpp
@@ -477,3 +477,30 @@
     REQUIRE(fleet.waitFor([&fleet] { return fleet.allConfigured(); }));
     CHECK(net::loopNow() - changed < ContactTime);
 }
+
+// Guards against nodes of a large zone that stay behind after the store forgot all waiting watches, and against watches
+// of the configuration that grow with the fleet to prevent that.
+TEST_CASE("nodes that follow are up to date soon after a silent store, and watch the configuration rarely")
+{
+    Fleet fleet(9, absl::InfiniteDuration());
+    fleet.store.put("replicas", "r1", Json::object());
+    REQUIRE(
+        fleet.waitFor([&fleet] { return fleet.allConfigured() && fleet.allHave(1) && fleet.watchers().size() <= 3; }));
+    // A node that has just begun to follow ends its last short watch.
+    runFor(fleet.loop, std::chrono::milliseconds(1500));
+    constexpr int QuietSeconds = 3;
+    const int before = fleet.store.calls("watch");
+    runFor(fleet.loop, std::chrono::seconds(QuietSeconds));
+    // Configuration and replicas, each at most once a second at a node that watches, and two kinds at the leader.
+    const int watchedKinds = 2 * static_cast<int>(fleet.watchers().size()) + 2;
+    CHECK(fleet.store.calls("watch") - before <= QuietSeconds * watchedKinds);
+
+    fleet.store.setSilent(true, objects::WatchReplyAllowance);
+    runFor(fleet.loop, std::chrono::milliseconds(50));
+    fleet.store.setSilent(false, objects::WatchReplyAllowance);
+    fleet.putConfig();
+    fleet.store.erase("replicas", "r1");
+    const Instant returned = net::loopNow();
+    REQUIRE(fleet.waitFor([&fleet] { return fleet.allConfigured() && fleet.allHave(0); }));
+    CHECK(net::loopNow() - returned < ContactTime);
+}
