Show 0 replicas in the metrics once the last one of a service has gone

Operators saw a replica that had gone. Services once seen are exported with 0. The new test failed before.

--- a/src/node/nodemetrics.cpp
+++ b/src/node/nodemetrics.cpp
@@ -93,11 +93,14 @@
 {
     std::map<std::pair<std::string, ReplicaCondition>, int> counts;
     for (const auto &[id, replica] : replicas.all()) {
-        // Conditions without replicas are exported as 0 rather than omitted.
+        services_.insert(replica.entry.service);
+        ++counts[{replica.entry.service, conditionOf(replica, now)}];
+    }
+    // Conditions without replicas are exported as 0 rather than omitted, also when the last one of a service has gone.
+    for (const std::string &service : services_) {
         for (const auto &[condition, name] : EnumNames<ReplicaCondition>::Table) {
-            counts.try_emplace({replica.entry.service, condition}, 0);
+            counts.try_emplace({service, condition}, 0);
         }
-        ++counts[{replica.entry.service, conditionOf(replica, now)}];
     }
     for (const auto &[key, count] : counts) {
         registry_
--- a/src/node/nodemetrics.h
+++ b/src/node/nodemetrics.h
@@ -9,6 +9,7 @@
 #include "telemetry/metrics.h"
 
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -73,6 +74,7 @@
     void setReplicas(const serving::ReplicaTable &replicas, Instant now);
 
     telemetry::MetricsRegistry registry_;
+    std::set<std::string> services_; ///< Of all replicas known so far.
 };
 
 } // namespace currantlug::node
--- a/tests/node/nodetest.cpp
+++ b/tests/node/nodetest.cpp
@@ -214,6 +214,22 @@
     CHECK_FALSE(has("known-key"));
 }
 
+// Guards against an operator who sees replicas of a service whose last one has gone.
+TEST_CASE("the count of a service's replicas falls to 0 when the last one has gone")
+{
+    NodeFixture fixture;
+    fixture.store.put("replicas", "r1", Json::object());
+    const auto count = [&fixture](const std::string &count) {
+        const std::string line = "currantlug_replicas{service=\"desk\",condition=\"ready\"} " + count + "\n";
+        return fixture.node.metrics().find(line) != std::string::npos;
+    };
+    REQUIRE(runUntil(fixture.loop, [&count] { return count("1"); }));
+    fixture.store.erase("replicas", "r1");
+    // Not scraped while the replica is removed from the table.
+    runFor(fixture.loop, std::chrono::milliseconds(1600));
+    CHECK(count("0"));
+}
+
 // Guards against a graceful stop that aborts an open request, and against one that waits for a request until the
 // process is killed.
 TEST_CASE("a stopping node waits for open requests, but exits within the grace period")
