Stop using a replica as soon as it says in an answer that it leaves

Until now `draining` was learnt from the registry alone, so that a node which the store turns away, or whose sources are silent, went on sending.

Change: the adapter decodes the field once, for answers to requests, items, reward calls and for load reports, and only where the answer is the expected replica's to this request (421, late copies and answers without the id mark nobody). leavingPort() hands it to the node; the replica table keeps it apart from the registration, for this incarnation (id, address, start), and until the entry goes. No request, hedge, item, reward call, load of weights or replacement count includes the replica afterwards; what runs there ends by itself. Nodes pass the marks on with their probes; that cost is only there while a replica leaves. Orders' own answers and informational answers aren't looked at. One log line and event a mark; the replica counts as draining in the metrics.

Tests: table, head of streams, successes and refusals over a real connection, node without store and peers with a stale registration afterwards, probes.

--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -133,7 +133,7 @@
     const Instant now = net::loopNow();
     std::vector<const serving::Replica *> replicas;
     for (const auto &[id, replica] : context_.replicas.all()) {
-        if (replica.entry.service == service && !replica.entry.draining && replica.removeAt > now) {
+        if (replica.entry.service == service && replica.acceptsRequests() && replica.removeAt > now) {
             replicas.push_back(&replica);
         }
     }
@@ -207,7 +207,7 @@
     ScalePlan::Counts counts;
     const Instant now = net::loopNow();
     for (const auto &[id, replica] : context_.replicas.all()) {
-        if (!replica.entry.draining && replica.removeAt > now) {
+        if (replica.acceptsRequests() && replica.removeAt > now) {
             ++counts[{replica.entry.service, replica.entry.availabilityZone}];
         }
     }
--- a/src/control/dutyport.h
+++ b/src/control/dutyport.h
@@ -48,6 +48,7 @@
     std::map<std::string, std::uint64_t> weightVersions;
     std::uint64_t ordersAccepted = 0;
     bool busy = false; ///< An order is being carried out.
+    bool leaving = false; ///< The replica is about to end.
 };
 
 struct ScaleOrder
--- a/src/jobs/loadwatch.cpp
+++ b/src/jobs/loadwatch.cpp
@@ -17,7 +17,7 @@
     for (const auto &[id, replica] : replicas.all()) {
         const serving::ReplicaEntry &entry = replica.entry;
         const auto version = entry.weightVersions.find(requirements.model);
-        if (entry.service != requirements.service || entry.draining || replica.removeAt <= now
+        if (entry.service != requirements.service || !replica.acceptsRequests() || replica.removeAt <= now
             || version == entry.weightVersions.end() || version->second >= requirements.minVersion) {
             continue;
         }
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -86,9 +86,26 @@
     return lease;
 }
 
-PlatformBinding metered(PlatformBinding binding, telemetry::MetricsRegistry &metrics)
+/// Adds to the ports of the binding what the node observes of their calls.
+PlatformBinding observed(PlatformBinding binding, telemetry::MetricsRegistry &metrics,
+                         serving::LeavingHandler onLeaving)
 {
     binding.store = objects::meteredPort(std::move(binding.store), metrics);
+    binding.replicas = serving::leavingPort(std::move(binding.replicas), onLeaving);
+    if (binding.duties.report) {
+        binding.duties.report = [report = std::move(binding.duties.report), onLeaving = std::move(onLeaving)](
+                                    const serving::Replica &replica,
+                                    std::function<void(std::optional<control::ReplicaReport>)> done) {
+            report(replica,
+                   [onLeaving, incarnation = serving::incarnationOf(replica.entry),
+                    done = std::move(done)](std::optional<control::ReplicaReport> answer) {
+                       if (answer && answer->leaving) {
+                           onLeaving(incarnation);
+                       }
+                       done(std::move(answer));
+                   });
+        };
+    }
     return binding;
 }
 
@@ -98,7 +115,8 @@
     : loop_(loop)
     , client_(client)
     , settings_(std::move(settings))
-    , binding_(metered(std::move(binding), metrics_.registry()))
+    , binding_(observed(std::move(binding), metrics_.registry(),
+                        [this](const serving::ReplicaIncarnation &replica) { onReplicaLeaving(replica, "answer"); }))
     , incarnation_(randomHex(6))
     , replicas_(tableSettings(settings_))
     , counts_(settings_.usageWindow)
@@ -283,6 +301,7 @@
     info.configRevision = configRevision();
     info.processorShare = settings_.processorShare;
     info.holdsTexts = jobs_ != nullptr && jobs_->holdsTexts();
+    info.leavingReplicas = replicas_.leavingReplicas();
     return info;
 }
 
@@ -558,6 +577,11 @@
     // A mirror that updateWatchPlan() starts is complete by the next tick, so no snapshot is needed for it.
     syncFromPeer();
     updateWatchPlan();
+    for (const NodeInfo &peer : mesh_.contacts()) {
+        for (const serving::ReplicaIncarnation &replica : peer.leavingReplicas) {
+            onReplicaLeaving(replica, "peer");
+        }
+    }
     replicaJournal_.expire(net::loopNow());
     unregisterLostNodes();
 }
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -15,6 +15,7 @@
 #include "node/replicajournal.h"
 #include "node/watchplan.h"
 #include "objects/objectmirror.h"
+#include "serving/leavingport.h"
 #include "serving/requestrunner.h"
 
 #include <functional>
@@ -113,6 +114,8 @@
     void applyConfig(const objects::StoredObject &object, std::string_view source);
     /// `registryUnstable`: a replica may live although its entry was removed.
     void onReplicaObject(const objects::ObjectChange &change, bool registryUnstable);
+    /// `source`: whether the replica's own answer or a peer said so.
+    void onReplicaLeaving(const serving::ReplicaIncarnation &incarnation, std::string_view source);
     void onReplicaDelta(const ReplicaDelta &delta);
     /// Removes the replicas that aren't registered according to a complete list as of `revision` of the store; 0 if the
     /// revision isn't known.
--- a/src/node/nodemetrics.cpp
+++ b/src/node/nodemetrics.cpp
@@ -39,7 +39,7 @@
     if (replica.removeAt != Instant(absl::InfiniteDuration())) {
         return ReplicaCondition::PendingRemoval;
     }
-    if (replica.entry.draining) {
+    if (!replica.acceptsRequests()) {
         return ReplicaCondition::Draining;
     }
     return replica.backoffUntil > now ? ReplicaCondition::Avoided : ReplicaCondition::Ready;
--- a/src/node/nodestate.cpp
+++ b/src/node/nodestate.cpp
@@ -136,6 +136,22 @@
     }
 }
 
+void Node::onReplicaLeaving(const serving::ReplicaIncarnation &incarnation, std::string_view source)
+{
+    if (!replicas_.recordLeaving(incarnation)) {
+        return;
+    }
+    const serving::Replica *replica = replicas_.find(incarnation.id);
+    telemetry::log(Level::Info, "replica", "leaving",
+                   {{"replica", incarnation.id},
+                    {"address", incarnation.address},
+                    {"started_at_ms", incarnation.startedAtMs},
+                    {"source", source},
+                    {"registered_draining", replica->entry.draining},
+                    {"in_flight", replica->inFlight},
+                    {"view_age_ms", absl::ToInt64Milliseconds(replicaViewAge(net::loopNow()))}});
+}
+
 void Node::onReplicaDelta(const ReplicaDelta &delta)
 {
     sourceUnstable_ = delta.registryUnstable;
@@ -241,6 +257,7 @@
     // change of it.
     info.incarnation.clear();
     info.ready = info.storeReached = info.leading = info.holdsTexts = false;
+    info.leavingReplicas.clear();
     info.configRevision = 0;
     return node::toJson(info);
 }
--- a/src/node/peermesh.cpp
+++ b/src/node/peermesh.cpp
@@ -23,19 +23,23 @@
 
 Json toJson(const NodeInfo &info)
 {
-    return {{"name", info.name},
-            {"incarnation", info.incarnation},
-            {"control", info.control},
-            {"front", info.front},
-            {"availability_zone", info.availabilityZone},
-            {"region", info.region},
-            {"stopping", info.stopping},
-            {"ready", info.ready},
-            {"store", info.storeReached},
-            {"leading", info.leading},
-            {"config", info.configRevision},
-            {"processor", info.processorShare},
-            {"texts", info.holdsTexts}};
+    Json json{{"name", info.name},
+              {"incarnation", info.incarnation},
+              {"control", info.control},
+              {"front", info.front},
+              {"availability_zone", info.availabilityZone},
+              {"region", info.region},
+              {"stopping", info.stopping},
+              {"ready", info.ready},
+              {"store", info.storeReached},
+              {"leading", info.leading},
+              {"config", info.configRevision},
+              {"processor", info.processorShare},
+              {"texts", info.holdsTexts}};
+    for (const serving::ReplicaIncarnation &replica : info.leavingReplicas) {
+        json["leaving"].push_back({replica.id, replica.address, replica.startedAtMs});
+    }
+    return json;
 }
 
 std::optional<NodeInfo> parseNodeInfo(const Json &value)
@@ -57,6 +61,13 @@
     if (info.name.empty() || info.control.empty()) {
         return std::nullopt;
     }
+    for (const Json &replica : fieldOrNull(value, "leaving")) {
+        if (replica.is_array() && replica.size() == 3 && replica[0].is_string() && replica[1].is_string()
+            && replica[2].is_number_integer()) {
+            info.leavingReplicas.push_back(
+                {replica[0].get<std::string>(), replica[1].get<std::string>(), replica[2].get<std::int64_t>()});
+        }
+    }
     return info;
 }
 
--- a/src/node/peermesh.h
+++ b/src/node/peermesh.h
@@ -12,6 +12,7 @@
 #include "jobs/jobcontext.h"
 #include "net/httpclient.h"
 #include "net/httpserver.h"
+#include "serving/replica.h"
 
 #include <absl/status/statusor.h>
 
@@ -38,6 +39,7 @@
     std::uint64_t configRevision = 0;
     double processorShare = 0; ///< Processor time of the node, in cores; 0 if it doesn't say.
     bool holdsTexts = true; ///< The node may have texts of items; true if it doesn't say.
+    std::vector<serving::ReplicaIncarnation> leavingReplicas; ///< Known to leave by their own word.
 };
 
 Json toJson(const NodeInfo &info);
--- a/src/serving/replica.h
+++ b/src/serving/replica.h
@@ -38,6 +38,8 @@
 struct Replica
 {
     ReplicaEntry entry;
+    /// The replica itself has said that it leaves. The registration may say so later, or may be older.
+    bool leaving = false;
     int inFlight = 0; ///< Requests that this node has in progress at the replica.
     int failures = 0; ///< Consecutive failures.
     Instant backoffUntil; ///< Set after a failure or a refusal; the replica is avoided until then.
@@ -47,8 +49,26 @@
     Instant lastEventAt; ///< Time of the last event that updated eventGap.
     ReplicaLoad load; ///< As last reported by the replica; meaningful only shortly after loadAt.
     Instant loadAt = Instant(-absl::InfiniteDuration());
+
+    /// True if neither the registration nor the replica itself says that it leaves.
+    bool acceptsRequests() const { return !entry.draining && !leaving; }
 };
 
+/// Identifies one incarnation of a replica.
+struct ReplicaIncarnation
+{
+    std::string id;
+    std::string address; ///< "IP:PORT"
+    std::int64_t startedAtMs = 0; ///< Unix time.
+
+    bool operator==(const ReplicaIncarnation &) const = default;
+};
+
+inline ReplicaIncarnation incarnationOf(const ReplicaEntry &entry)
+{
+    return {entry.id, entry.address, entry.startedAtMs};
+}
+
 } // namespace currantlug::serving
 
 #endif
--- a/src/serving/replicaport.h
+++ b/src/serving/replicaport.h
@@ -34,6 +34,7 @@
     bool notRun = false; ///< The replica states that it did not run the request.
     bool instanceMismatch = false; ///< The address now belongs to another replica.
     bool requestMismatch = false; ///< The response is not shown to belong to this request and must not be used.
+    bool leaving = false; ///< The replica is about to end and must get no more requests.
     std::optional<ReplicaLoad> load;
     std::optional<std::uint64_t> weightVersion;
     std::string signature; ///< Signature by the replica.
--- a/src/serving/replicatable.cpp
+++ b/src/serving/replicatable.cpp
@@ -35,7 +35,7 @@
         return;
     }
     Replica &replica = found->second;
-    if (entry.startedAtMs != replica.entry.startedAtMs || entry.address != replica.entry.address) {
+    if (incarnationOf(entry) != incarnationOf(replica.entry)) {
         // Another incarnation: measurements and failures of the previous one do not apply.
         const int inFlight = replica.inFlight;
         replica = Replica{};
@@ -53,6 +53,26 @@
     }
 }
 
+bool ReplicaTable::recordLeaving(const ReplicaIncarnation &incarnation)
+{
+    const auto found = replicas_.find(incarnation.id);
+    if (found == replicas_.end() || incarnationOf(found->second.entry) != incarnation) {
+        return false;
+    }
+    return !std::exchange(found->second.leaving, true);
+}
+
+std::vector<ReplicaIncarnation> ReplicaTable::leavingReplicas() const
+{
+    std::vector<ReplicaIncarnation> leaving;
+    for (const auto &[id, replica] : replicas_) {
+        if (replica.leaving) {
+            leaving.push_back(incarnationOf(replica.entry));
+        }
+    }
+    return leaving;
+}
+
 void ReplicaTable::expire(Instant now)
 {
     for (auto &[id, replica] : replicas_) {
@@ -85,7 +105,7 @@
     Replica *best = nullptr;
     std::tuple<bool, bool, int, int> bestRank;
     for (auto &[id, replica] : replicas_) {
-        if (replica.entry.service != service || replica.entry.draining || replica.removeAt <= now
+        if (replica.entry.service != service || !replica.acceptsRequests() || replica.removeAt <= now
             || tried.contains(id)) {
             continue;
         }
@@ -112,7 +132,7 @@
     Replica *best = nullptr;
     std::pair<int, int> bestRank;
     for (auto &[id, replica] : replicas_) {
-        if (replica.entry.service != service || replica.entry.draining || replica.removeAt <= now
+        if (replica.entry.service != service || !replica.acceptsRequests() || replica.removeAt <= now
             || replica.backoffUntil > now || tried.contains(id)) {
             continue;
         }
@@ -131,7 +151,7 @@
 
 bool ReplicaTable::canRun(const Replica &replica, const ItemRequirements &requirements) const
 {
-    if (replica.entry.service != requirements.service || replica.entry.draining) {
+    if (replica.entry.service != requirements.service || !replica.acceptsRequests()) {
         return false;
     }
     const auto version = replica.entry.weightVersions.find(requirements.model);
--- a/src/serving/replicatable.h
+++ b/src/serving/replicatable.h
@@ -47,13 +47,18 @@
     /// `registryUnstable`: there is or recently was a registry outage, so a live replica may lose its entry and
     /// register again.
     void remove(const std::string &id, bool registryUnstable, Instant now);
+    /// Records that a replica has said that it leaves. It then gets no more requests, whatever its registration says.
+    /// Returns false if that is known, or if the table has another incarnation or none.
+    bool recordLeaving(const ReplicaIncarnation &incarnation);
+    /// Replicas that have said that they leave.
+    std::vector<ReplicaIncarnation> leavingReplicas() const;
     /// Erases removed replicas that did not register again in time, and discards outdated event gaps.
     void expire(Instant now);
 
     Replica *find(const std::string &id);
     const std::map<std::string, Replica> &all() const { return replicas_; }
 
-    /// Returns the best replica of a service for a client request: not draining, not in `tried`, with low load and
+    /// Returns the best replica of a service for a client request: not leaving, not in `tried`, with low load and
     /// nearby. Replicas in backoff come last. Null if there is none.
     Replica *chooseForRequest(std::string_view service, const std::set<std::string> &tried, Instant now);
 
--- a/tests/adapter/codectest.cpp
+++ b/tests/adapter/codectest.cpp
@@ -255,6 +255,28 @@
     CHECK_FALSE(head(500, {{"X-Attempt-Id", "mine"}}).notRun);
 }
 
+// Guards against a replica that is avoided because of a late answer, or of one that came from its successor.
+TEST_CASE("only the expected replica's answer to this request says that it leaves")
+{
+    const auto leaving = [](int status, std::map<std::string, std::string> fields) {
+        fields.emplace("Server-Leaving", "1");
+        net::HttpResponse response;
+        response.status = status;
+        for (const auto &[name, value] : fields) {
+            response.headers.add(name, value);
+        }
+        return decodeHead("mine", response).leaving;
+    };
+    CHECK(leaving(200, {{"X-Attempt-Id", "mine"}, {"X-Server-Stamp", "s"}}));
+    CHECK(leaving(503, {{"X-Attempt-Id", "mine"}, {"X-Not-Executed", "1"}}));
+    CHECK(leaving(429, {{"X-Attempt-Id", "mine"}, {"X-Not-Executed", "1"}}));
+    CHECK(leaving(500, {{"X-Attempt-Id", "mine"}}));
+    CHECK_FALSE(leaving(200, {{"X-Attempt-Id", "other"}, {"X-Server-Stamp", "s"}}));
+    CHECK_FALSE(leaving(200, {{"X-Server-Stamp", "s"}}));
+    CHECK_FALSE(leaving(421, {{"X-Attempt-Id", "mine"}}));
+    CHECK_FALSE(leaving(200, {{"X-Attempt-Id", "mine"}, {"X-Server-Stamp", "s"}, {"Server-Leaving", "0"}}));
+}
+
 // Guards against memory that grows with a line or an event that a faulty replica never ends.
 TEST_CASE("a line or an event without end is given up")
 {
--- a/tests/adapter/replicaclienttest.cpp
+++ b/tests/adapter/replicaclienttest.cpp
@@ -1,5 +1,6 @@
 // Tests orders to replicas and their reports against a server that answers wrongly.
 #include "replicaclient.h"
+#include "serving/leavingport.h"
 
 #include "fakes/runloop.h"
 #include "net/httpclient.h"
@@ -82,6 +83,43 @@
     CHECK_FALSE(AnsweringReplica(200, ofRequest, Report).report().has_value());
 }
 
+// Guards against streams and refusals whose head isn't looked at, and against a field that the client doesn't get.
+TEST_CASE("the head of a stream, of a success and of a refusal says that the replica leaves")
+{
+    for (const int status : {200, 503}) {
+        CAPTURE(status);
+        AnsweringReplica replica(
+            status,
+            {{"X-Attempt-Id", "q"}, {"X-Server-Stamp", "s"}, {"X-Weight-Versions", "3"}, {"Server-Leaving", "1"}}, "");
+        int marks = 0;
+        bool forwarded = false;
+        int done = 0;
+        const serving::ReplicaPort port =
+            serving::leavingPort(replicaPort(replica.client), [&](const serving::ReplicaIncarnation &incarnation) {
+                CHECK(incarnation == serving::incarnationOf(replica.replica.entry));
+                ++marks;
+            });
+        serving::OutboundRequest request;
+        request.id = "q";
+        request.method = "POST";
+        request.target = "/";
+        serving::ReplicaHandlers handlers;
+        handlers.onHead = [&forwarded](const serving::ReplicaHead &, const net::HttpResponse &response) {
+            forwarded = response.headers.find("Server-Leaving").has_value();
+        };
+        handlers.onDone = [&done](const serving::ReplicaHead &, const absl::StatusOr<net::HttpResponse> &) { ++done; };
+        port.send(replica.replica, request, {}, handlers);
+        serving::EventHandlers events;
+        events.onHead = [](const serving::ReplicaHead &) {};
+        events.onEvent = [](const serving::StreamEvent &) {};
+        events.onDone = [&done](const serving::ReplicaHead &, const absl::Status &) { ++done; };
+        port.generate(replica.replica, request, {}, events);
+        REQUIRE(runUntil(replica.loop, [&done] { return done == 2; }));
+        CHECK(marks == 2);
+        CHECK(forwarded);
+    }
+}
+
 TEST_CASE("an order's own answer and a report are read")
 {
     CHECK(AnsweringReplica(202, {}, "").order() == OrderReply::Started);
@@ -91,6 +129,8 @@
     REQUIRE(report.has_value());
     CHECK(report->weightVersions.at("m") == 7);
     CHECK(report->ordersAccepted == 3);
+    CHECK_FALSE(report->leaving);
+    CHECK(AnsweringReplica(200, {{"Server-Leaving", "1"}}, Report).report()->leaving);
     const auto unreadable = AnsweringReplica(200, {}, "{\"models\":3}").report();
     CHECK((!unreadable || unreadable->weightVersions.empty()));
     CHECK_FALSE(AnsweringReplica(503, {}, Report).report().has_value());
--- a/tests/node/nodetest.cpp
+++ b/tests/node/nodetest.cpp
@@ -81,6 +81,9 @@
         return *status;
     }
 
+    /// All replicas answer every request, and say that they leave.
+    void letReplicasLeave() { replicasLeave_ = true; }
+
     void failStore()
     {
         store.setFault(
@@ -95,6 +98,21 @@
         binding.configKind = ConfigKind;
         binding.configName = ConfigName;
         binding.parseConfig = singleRouteConfig;
+        binding.replicas.send = [this](const serving::Replica &replica, const serving::OutboundRequest &,
+                                       const net::ClientLimits &, serving::ReplicaHandlers handlers) {
+            requestsTo[replica.entry.id]++;
+            serving::ReplicaHead head;
+            head.status = 200;
+            head.leaving = replicasLeave_;
+            net::HttpResponse response;
+            response.status = 200;
+            boost::asio::post(loop, [head, response, handlers = std::move(handlers)] {
+                handlers.onHead(head, response);
+                handlers.onDone(head, response);
+            });
+            return net::CallId{1};
+        };
+        binding.replicas.cancel = [](net::CallId) {};
         binding.replicaKind = "replicas";
         binding.parseReplica = [](const objects::StoredObject &object) {
             serving::ReplicaEntry entry;
@@ -114,8 +132,10 @@
 public:
     net::Loop loop;
     InMemoryObjectStore store;
+    std::map<std::string, int> requestsTo; ///< By replica id.
 
 private:
+    bool replicasLeave_ = false;
     net::HttpClient client_;
 
 public:
@@ -190,6 +210,37 @@
     CHECK(net::loopNow() - returned < ContactTime);
 }
 
+// Guards against requests to a replica that leaves, sent by a node that neither the store nor a peer tells of it.
+TEST_CASE("a node without store and peers stops using a replica that says that it leaves")
+{
+    NodeFixture fixture;
+    fixture.store.put("replicas", "r1", Json::object());
+    REQUIRE(runUntil(fixture.loop, [&fixture] {
+        return fixture.node.metrics().find("currantlug_replicas{service=\"desk\",condition=\"ready\"} 1")
+            != std::string::npos;
+    }));
+    fixture.statusOf("/orders/1", "known-key");
+    runFor(fixture.loop, std::chrono::milliseconds(20));
+    CHECK(fixture.statusOf("/orders/1", "known-key") == 0);
+    CHECK(fixture.requestsTo["r1"] == 2);
+    fixture.failStore();
+    fixture.letReplicasLeave();
+    runFor(fixture.loop, std::chrono::milliseconds(20));
+    fixture.statusOf("/orders/1", "known-key");
+    runFor(fixture.loop, std::chrono::milliseconds(20));
+    const int before = fixture.requestsTo["r1"];
+    // All replicas of the service leave: the refusal comes at once.
+    CHECK(fixture.statusOf("/orders/1", "known-key") == 503);
+    // The store returns with a registration that says nothing of it.
+    fixture.store.setFault({});
+    fixture.store.put("replicas", "r1", {{"cold", 1}});
+    runFor(fixture.loop, std::chrono::milliseconds(1600));
+    CHECK(fixture.statusOf("/orders/1", "known-key") == 503);
+    CHECK(fixture.requestsTo["r1"] == before);
+    CHECK(fixture.node.metrics().find("currantlug_events_total{subsystem=\"replica\",event=\"leaving\"} 1")
+          != std::string::npos);
+}
+
 // Guards against the loss of metrics that on-call engineers are told to look at.
 TEST_CASE("metrics include refusals, store calls and the state of the node")
 {
--- a/tests/node/peermeshtest.cpp
+++ b/tests/node/peermeshtest.cpp
@@ -158,3 +158,20 @@
         CHECK(status == 400);
     }
 }
+
+// Guards against a node that goes on using a replica although another node knows that it leaves.
+TEST_CASE("a node tells its peers which replicas have said that they leave")
+{
+    MeshNode one("one");
+    MeshNode two("two");
+    one.info.leavingReplicas = {{"r1", "10.0.0.1:80", 1700000000123}, {"r2", "10.0.0.2:80", 0}};
+    two.mesh->add("one", one.info.control);
+    one.mesh->start();
+    two.mesh->start();
+    REQUIRE(runUntil({&one, &two}, [&two] { return !two.mesh->contacts().empty(); }));
+    CHECK(two.mesh->contacts().front().leavingReplicas == one.info.leavingReplicas);
+    const auto spoiled = node::parseNodeInfo(
+        {{"name", "n"}, {"control", "c"}, {"leaving", {1, {"r", "a"}, {"r", "a", "then"}, {"r3", "a", 4}}}});
+    REQUIRE(spoiled.has_value());
+    CHECK(spoiled->leavingReplicas == std::vector<serving::ReplicaIncarnation>{{"r3", "a", 4}});
+}
--- a/tests/serving/replicatabletest.cpp
+++ b/tests/serving/replicatabletest.cpp
@@ -61,6 +61,44 @@
     CHECK(replicas.chooseForItem(need(), {}, Now) == nullptr);
 }
 
+// Guards against requests to a replica that has said that it leaves, because its registration is older than that, and
+// against a mark that outlives the incarnation that it was said of.
+TEST_CASE("a replica that says that it leaves gets nothing more, whatever its registration says")
+{
+    ReplicaTable replicas = table();
+    replicas.update(entry("a"));
+    replicas.update(entry("b"));
+    const ReplicaIncarnation leaving = incarnationOf(entry("a"));
+    CHECK(replicas.recordLeaving(leaving));
+    CHECK_FALSE(replicas.recordLeaving(leaving));
+    const auto onlyB = [&replicas] {
+        return replicas.chooseForRequest("s", {"b"}, Now) == nullptr
+            && replicas.chooseForBackground("s", {"b"}, Now) == nullptr
+            && replicas.chooseForItem(need(), {"b"}, Now) == nullptr
+            && replicas.chooseForRequest("s", {}, Now)->entry.id == "b";
+    };
+    CHECK(onlyB());
+    // A registration from before the change, and one that says nothing of it.
+    replicas.update(entry("a"));
+    CHECK(onlyB());
+    CHECK(replicas.leavingReplicas() == std::vector<ReplicaIncarnation>{leaving});
+
+    ReplicaEntry restarted = entry("a");
+    restarted.startedAtMs = 5;
+    replicas.update(restarted);
+    CHECK(replicas.chooseForRequest("s", {"b"}, Now) != nullptr);
+    CHECK(replicas.leavingReplicas().empty());
+    // Said of the incarnation before, by a late answer or a peer that is behind.
+    CHECK_FALSE(replicas.recordLeaving(leaving));
+    CHECK(replicas.chooseForRequest("s", {"b"}, Now) != nullptr);
+
+    REQUIRE(replicas.recordLeaving(incarnationOf(restarted)));
+    replicas.remove("a", false, Now);
+    replicas.expire(Now);
+    CHECK(replicas.leavingReplicas().empty());
+    CHECK_FALSE(replicas.recordLeaving(incarnationOf(restarted)));
+}
+
 // Guards against a service that loses all its replicas because a short registry outage dropped their entries.
 TEST_CASE("replicas removed during a registry outage stay in use for two more seconds")
 {
