--- a/src/node/watchplan.h
+++ b/src/node/watchplan.h
@@ -41,8 +41,8 @@
     }
 };
 
-/// Wait of a watch call with which a view of the store stays younger than `ageLimit` even if the store forgets the
-/// call, and with which a node that follows is up to date within MaxRecoveryTime after an outage of the store.
+/// Wait of a watch call after which, even if the store forgets the call, the response to the next one comes within
+/// `ageLimit`, and a node that follows is up to date within MaxRecoveryTime after an outage of the store.
 absl::Duration boundedWatchWait(absl::Duration ageLimit);
 
 /// Wait of a watch call of the configuration at a node that follows: its sources tell it of changes as well.
