Keep the controller's lease through an outage that no node could lead through

Cause: "the store doesn't answer me" was enough to release the lease, whether or not another node reaches the store.

Change: the lease is released once it has been renewed during the outage, which only works through a peer that reaches the store. Test: after an outage at both nodes the same one leads; before, the lease went to the other one. The test of an outage at one node is unchanged.

--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -76,7 +76,9 @@
         storeOutageSince_ = now;
     }
     const bool storeOutage = !storeReachable && now - storeOutageSince_ >= context_.settings.storeOutageTimeout;
-    if (lease_.holds() && storeOutage && !context_.peers.live().empty()) {
+    // A renewal during the outage went through a peer, so that one reaches the store.
+    const bool peerReachesStore = lease_.renewedAt() > storeOutageSince_;
+    if (lease_.holds() && storeOutage && peerReachesStore) {
         // Without the store this controller learns of no changes. It releases the lease so that a peer can acquire it.
         release();
         return;
--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -50,8 +50,8 @@
     /// Time for which a node that released the lease doesn't acquire it again: the platform requires that two lease
     /// holders don't alternate within three seconds.
     absl::Duration reacquireDelay = absl::Milliseconds(4500);
-    /// A controller that has had no answer from the store for this long releases the lease. A watch that was merely
-    /// disconnected recovers in less.
+    /// A controller that has had no answer from the store for this long releases the lease, if a peer reaches the
+    /// store. A watch that was merely disconnected recovers in less.
     absl::Duration storeOutageTimeout = absl::Milliseconds(500);
     /// Delay per rank, which staggers the nodes' attempts to acquire the lease.
     absl::Duration candidateRankDelay = absl::Milliseconds(700);
--- a/src/control/leasedriver.cpp
+++ b/src/control/leasedriver.cpp
@@ -91,7 +91,8 @@
     const auto done = [this, nonce = write.record.nonce](const StoreReply &reply) {
         callInProgress_ = false;
         if (reply.outcome == StoreOutcome::Done && !reply.changes.empty()) {
-            decision_.written(nonce, reply.changes.front().object.revision, net::loopNow());
+            renewedAt_ = net::loopNow();
+            decision_.written(nonce, reply.changes.front().object.revision, renewedAt_);
         } else if (reply.outcome == StoreOutcome::Conflict || reply.outcome == StoreOutcome::Unknown) {
             // The read shows whether the write took effect.
             read();
--- a/src/control/leasedriver.h
+++ b/src/control/leasedriver.h
@@ -27,6 +27,8 @@
     /// The fencing token, if this node may act now.
     std::optional<std::uint64_t> fencingToken() const;
     bool holds() const { return decision_.holds(); }
+    /// Time of the last confirmed acquisition or renewal; the default value of Instant if there was none.
+    Instant renewedAt() const { return renewedAt_; }
     /// True once a read of the lease was answered.
     bool hasRead() const { return hasRead_; }
 
@@ -44,6 +46,7 @@
     std::string node_;
     lease::LeaseDecision decision_;
     Instant lastRead_;
+    Instant renewedAt_;
     std::string lastNonce_; ///< Of the newest acquisition or renewal, which may take effect after a release.
     bool callInProgress_ = false;
     bool candidate_ = false; ///< From the last poll; false after a release, so that a read in flight doesn't reacquire.
--- a/tests/control/controllertest.cpp
+++ b/tests/control/controllertest.cpp
@@ -255,6 +255,28 @@
     CHECK(pair.leader() == first);
 }
 
+// Guards against seconds without a controller after an outage that no node could have led through: the lease is given
+// up, nobody can take it, and its holder waits before it takes it back.
+TEST_CASE("a controller leads again as soon as a store is back that no node reached")
+{
+    ControllerPair pair;
+    REQUIRE(runUntil(pair.loop, [&pair] { return !pair.leader().empty(); }));
+    const std::string first = pair.leader();
+    pair.storeUnreachable = {"a", "b"};
+    pair.store.setFault(
+        [](const std::string &, const std::string &, const std::string &) { return StoreOutcome::Refused; });
+    REQUIRE(runUntil(pair.loop, [&pair] { return pair.leader().empty(); }));
+    // Longer than an unconfirmed release is repeated.
+    runFor(pair.loop, std::chrono::milliseconds(1500));
+    pair.storeUnreachable.clear();
+    pair.store.setFault({});
+    const Instant returned = net::loopNow();
+    REQUIRE(runUntil(pair.loop, [&pair] { return !pair.leader().empty(); }));
+    CHECK(pair.leader() == first);
+    // A successor would wait for the lease's duration.
+    CHECK(net::loopNow() - returned < absl::Milliseconds(1200));
+}
+
 // Guards against usage that is never reported because the process that counted it has stopped.
 TEST_CASE("counts handed over by a stopping process are reported by another node")
 {
