--- a/src/objects/objectmirror.h
+++ b/src/objects/objectmirror.h
@@ -28,7 +28,7 @@
     absl::Duration batchDelay = absl::Milliseconds(100);
     /// Delay before the first retry; doubles with each consecutive failure up to `maxBackoff`.
     absl::Duration initialBackoff = absl::Milliseconds(200);
-    absl::Duration maxBackoff = absl::Milliseconds(1600);
+    absl::Duration maxBackoff = absl::Milliseconds(800);
 };
 
 class ObjectMirror
