--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -91,7 +91,7 @@
                          serving::LeavingHandler onLeaving)
 {
     binding.store = objects::meteredPort(std::move(binding.store), metrics);
-    binding.replicas = serving::leavingPort(std::move(binding.replicas), onLeaving);
+    binding.replicas = serving::leavingPort(binding.replicas, onLeaving);
     if (binding.duties.report) {
         binding.duties.report = [report = std::move(binding.duties.report), onLeaving = std::move(onLeaving)](
                                     const serving::Replica &replica,
--- a/src/serving/leavingport.cpp
+++ b/src/serving/leavingport.cpp
@@ -5,7 +5,7 @@
 
 namespace currantlug::serving {
 
-ReplicaPort leavingPort(ReplicaPort port, LeavingHandler onLeaving)
+ReplicaPort leavingPort(const ReplicaPort &port, const LeavingHandler &onLeaving)
 {
     ReplicaPort wrapped = port;
     wrapped.generate = [generate = port.generate, onLeaving](const Replica &replica, const OutboundRequest &request,
--- a/src/serving/leavingport.h
+++ b/src/serving/leavingport.h
@@ -15,7 +15,7 @@
 
 /// Forwards all calls to `port`. `onLeaving` is called before the handlers of a response that says so, with the
 /// incarnation that the request was sent to.
-ReplicaPort leavingPort(ReplicaPort port, LeavingHandler onLeaving);
+ReplicaPort leavingPort(const ReplicaPort &port, const LeavingHandler &onLeaving);
 
 } // namespace currantlug::serving
 
