--- a/tests/node/replicafeedtest.cpp
+++ b/tests/node/replicafeedtest.cpp
@@ -286,10 +286,18 @@
         }
     }
 
-    /// Value of a metric of a node, without labels or with exactly those given.
+    /// Reads the metrics of all nodes.
+    void scrape()
+    {
+        scraped_.clear();
+        for (const auto &member : members_) {
+            scraped_.push_back(member->node->metrics());
+        }
+    }
+    /// Value of a metric of a node at the last scrape, without labels or with exactly those given.
     double metric(std::size_t index, const std::string &name) const
     {
-        const std::string text = members_[index]->node->metrics();
+        const std::string &text = scraped_[index];
         const std::size_t begin = text.find("\n" + name + " ");
         return begin == std::string::npos ? 0 : std::stod(text.substr(begin + name.size() + 2));
     }
@@ -313,7 +321,7 @@
         }
         return true;
     }
-    /// Like runUntil(). The condition reads the metrics of all nodes, so it isn't checked after each event.
+    /// Like runUntil(). A scrape takes long under sanitizers, so that the nodes run for some time after each check.
     bool waitFor(const std::function<bool()> &condition)
     {
         Instant checkAt;
@@ -321,8 +329,10 @@
             if (net::loopNow() < checkAt) {
                 return false;
             }
+            scrape();
+            const bool holds = condition();
             checkAt = net::loopNow() + absl::Milliseconds(50);
-            return condition();
+            return holds;
         });
     }
     void turnAway(std::size_t index, bool away) { members_[index]->turnedAway = away; }
@@ -425,6 +435,7 @@
         std::unique_ptr<node::Node> node;
     };
 
+    std::vector<std::string> scraped_; ///< Metrics by node.
     absl::Duration maxWatchWait_;
     std::uint64_t configVersion_ = 0;
     std::vector<std::unique_ptr<Member>> members_;
@@ -491,6 +502,7 @@
     constexpr int QuietSeconds = 3;
     const int before = fleet.store.calls("watch");
     runFor(fleet.loop, std::chrono::seconds(QuietSeconds));
+    fleet.scrape();
     // Configuration and replicas, each at most once a second at a node that watches, and two kinds at the leader.
     const int watchedKinds = 2 * static_cast<int>(fleet.watchers().size()) + 2;
     CHECK(fleet.store.calls("watch") - before <= QuietSeconds * watchedKinds);
