Share one look-up of metrics in the tests of a node, and use the port's constant for the watch's grace

Found by reading the whole change: four copies of the same search in the exposition, and a literal second that repeated objects::WatchReplyAllowance.

--- a/tests/node/nodetest.cpp
+++ b/tests/node/nodetest.cpp
@@ -81,6 +81,9 @@
         return *status;
     }
 
+    /// True if the exposition of the node's metrics contains the text.
+    bool hasMetric(const std::string &text) { return node.metrics().find(text) != std::string::npos; }
+
     /// All replicas answer every request, and say that they leave.
     void letReplicasLeave() { replicasLeave_ = true; }
 
@@ -182,31 +185,31 @@
 {
     // A node counts as in touch again this long after a store outage, and must then follow configuration and replicas.
     constexpr absl::Duration ContactTime = absl::Seconds(4);
-    constexpr absl::Duration WatchGrace = absl::Seconds(1); // That of the platform's client.
     NodeFixture fixture;
     fixture.store.put("replicas", "r1", Json::object());
-    const auto metric = [&fixture](const char *line) { return fixture.node.metrics().find(line) != std::string::npos; };
     REQUIRE(runUntil(fixture.loop, [&] {
-        return fixture.node.ready() && metric("currantlug_leading 1")
-            && metric("currantlug_replicas{service=\"desk\",condition=\"ready\"} 1");
+        return fixture.node.ready() && fixture.hasMetric("currantlug_leading 1")
+            && fixture.hasMetric("currantlug_replicas{service=\"desk\",condition=\"ready\"} 1");
     }));
     // All watches wait for changes when the store falls silent.
     runFor(fixture.loop, std::chrono::milliseconds(1500));
-    fixture.store.setSilent(true, WatchGrace);
+    fixture.store.setSilent(true, objects::WatchReplyAllowance);
     runFor(fixture.loop, std::chrono::milliseconds(50));
-    fixture.store.setSilent(false, WatchGrace);
+    fixture.store.setSilent(false, objects::WatchReplyAllowance);
     const Instant returned = net::loopNow();
     fixture.store.put(ConfigKind, ConfigName, Json::object());
     const std::string newVersion = "currantlug_config_version " + std::to_string(fixture.store.revision());
     fixture.store.put("replicas", "r1", {{"draining", true}});
     fixture.store.put("versions", "m", 2);
-    REQUIRE(runUntil(fixture.loop, [&] { return metric(newVersion.c_str()); }));
+    REQUIRE(runUntil(fixture.loop, [&] { return fixture.hasMetric(newVersion); }));
     CHECK(net::loopNow() - returned < ContactTime);
-    REQUIRE(runUntil(fixture.loop,
-                     [&] { return metric("currantlug_replicas{service=\"desk\",condition=\"draining\"} 1"); }));
+    REQUIRE(runUntil(fixture.loop, [&] {
+        return fixture.hasMetric("currantlug_replicas{service=\"desk\",condition=\"draining\"} 1");
+    }));
     CHECK(net::loopNow() - returned < ContactTime);
-    REQUIRE(runUntil(fixture.loop,
-                     [&] { return metric("currantlug_events_total{subsystem=\"weights\",event=\"named\"} 1"); }));
+    REQUIRE(runUntil(fixture.loop, [&] {
+        return fixture.hasMetric("currantlug_events_total{subsystem=\"weights\",event=\"named\"} 1");
+    }));
     CHECK(net::loopNow() - returned < ContactTime);
 }
 
@@ -216,8 +219,7 @@
     NodeFixture fixture;
     fixture.store.put("replicas", "r1", Json::object());
     REQUIRE(runUntil(fixture.loop, [&fixture] {
-        return fixture.node.metrics().find("currantlug_replicas{service=\"desk\",condition=\"ready\"} 1")
-            != std::string::npos;
+        return fixture.hasMetric("currantlug_replicas{service=\"desk\",condition=\"ready\"} 1");
     }));
     fixture.statusOf("/orders/1", "known-key");
     runFor(fixture.loop, std::chrono::milliseconds(20));
@@ -237,8 +239,7 @@
     runFor(fixture.loop, std::chrono::milliseconds(1600));
     CHECK(fixture.statusOf("/orders/1", "known-key") == 503);
     CHECK(fixture.requestsTo["r1"] == before);
-    CHECK(fixture.node.metrics().find("currantlug_events_total{subsystem=\"replica\",event=\"leaving\"} 1")
-          != std::string::npos);
+    CHECK(fixture.hasMetric("currantlug_events_total{subsystem=\"replica\",event=\"leaving\"} 1"));
 }
 
 // Guards against the loss of metrics that on-call engineers are told to look at.
@@ -271,8 +272,7 @@
     NodeFixture fixture;
     fixture.store.put("replicas", "r1", Json::object());
     const auto count = [&fixture](const std::string &count) {
-        const std::string line = "currantlug_replicas{service=\"desk\",condition=\"ready\"} " + count + "\n";
-        return fixture.node.metrics().find(line) != std::string::npos;
+        return fixture.hasMetric("currantlug_replicas{service=\"desk\",condition=\"ready\"} " + count + "\n");
     };
     REQUIRE(runUntil(fixture.loop, [&count] { return count("1"); }));
     fixture.store.erase("replicas", "r1");
