Show which replicas limit their request rate in logs, metrics and the state that nodes exchange

Lines 'replica limited' and 'replica limit_lifted' with the source and age, two gauges per service, and the statement in the probes between nodes. Nothing is decided by it yet.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -88,10 +88,11 @@
 
 /// Adds to the ports of the binding what the node observes of their calls.
 PlatformBinding observed(PlatformBinding binding, telemetry::MetricsRegistry &metrics,
-                         serving::LeavingHandler onLeaving)
+                         serving::StatementHandler onStatement,
+                         std::function<void(const serving::ReplicaIncarnation &)> onLeaving)
 {
     binding.store = objects::meteredPort(std::move(binding.store), metrics);
-    binding.replicas = serving::leavingPort(binding.replicas, onLeaving);
+    binding.replicas = serving::observedPort(binding.replicas, onStatement);
     if (binding.duties.report) {
         binding.duties.report = [report = std::move(binding.duties.report), onLeaving = std::move(onLeaving)](
                                     const serving::Replica &replica,
@@ -115,8 +116,10 @@
     : loop_(loop)
     , client_(client)
     , settings_(std::move(settings))
-    , binding_(observed(std::move(binding), metrics_.registry(),
-                        [this](const serving::ReplicaIncarnation &replica) { onReplicaLeaving(replica, "answer"); }))
+    , binding_(observed(
+          std::move(binding), metrics_.registry(),
+          [this](const serving::ReplicaStatement &statement) { onReplicaStatement(statement); },
+          [this](const serving::ReplicaIncarnation &replica) { onReplicaLeaving(replica, StatementSource::Answer); }))
     , incarnation_(randomHex(6))
     , replicas_(tableSettings(settings_))
     , counts_(settings_.usageWindow)
@@ -302,6 +305,7 @@
     info.processorShare = settings_.processorShare;
     info.holdsTexts = jobs_ != nullptr && jobs_->holdsTexts();
     info.leavingReplicas = replicas_.leavingReplicas();
+    info.replicaLimits = replicas_.limitStatements(net::loopNow());
     return info;
 }
 
@@ -579,7 +583,10 @@
     updateWatchPlan();
     for (const NodeInfo &peer : mesh_.contacts()) {
         for (const serving::ReplicaIncarnation &replica : peer.leavingReplicas) {
-            onReplicaLeaving(replica, "peer");
+            onReplicaLeaving(replica, StatementSource::Peer);
+        }
+        for (const serving::LimitStatement &statement : peer.replicaLimits) {
+            onReplicaLimit(statement, StatementSource::Peer);
         }
     }
     replicaJournal_.expire(net::loopNow());
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -15,7 +15,7 @@
 #include "node/replicajournal.h"
 #include "node/watchplan.h"
 #include "objects/objectmirror.h"
-#include "serving/leavingport.h"
+#include "serving/observedport.h"
 #include "serving/requestrunner.h"
 
 #include <functional>
@@ -33,6 +33,12 @@
     NoRoute,
 };
 
+/// How a node learnt what a replica says about itself.
+enum class StatementSource {
+    Answer, ///< From a response of the replica to this node.
+    Peer, ///< From another node.
+};
+
 } // namespace currantlug::node
 
 template<>
@@ -45,6 +51,16 @@
     }};
 };
 
+template<>
+struct currantlug::EnumNames<currantlug::node::StatementSource>
+{
+    using StatementSource = currantlug::node::StatementSource;
+    static constexpr std::array<std::pair<StatementSource, std::string_view>, 2> Table{{
+        {StatementSource::Answer, "answer"},
+        {StatementSource::Peer, "peer"},
+    }};
+};
+
 namespace currantlug::node {
 
 /// What the platform folder provides to a node: ports for outgoing calls and parsers for the platform's objects.
@@ -114,8 +130,10 @@
     void applyConfig(const objects::StoredObject &object, std::string_view source);
     /// `registryUnstable`: a replica may live although its entry was removed.
     void onReplicaObject(const objects::ObjectChange &change, bool registryUnstable);
-    /// `source`: whether the replica's own answer or a peer said so.
-    void onReplicaLeaving(const serving::ReplicaIncarnation &incarnation, std::string_view source);
+    void onReplicaLeaving(const serving::ReplicaIncarnation &incarnation, StatementSource source);
+    /// Handles what a replica said about itself in a response to this node.
+    void onReplicaStatement(const serving::ReplicaStatement &statement);
+    void onReplicaLimit(const serving::LimitStatement &statement, StatementSource source);
     void onReplicaDelta(const ReplicaDelta &delta);
     /// Removes the replicas that aren't registered according to a complete list as of `revision` of the store; 0 if the
     /// revision isn't known.
--- a/src/node/nodemetrics.cpp
+++ b/src/node/nodemetrics.cpp
@@ -92,8 +92,12 @@
 void NodeMetrics::setReplicas(const serving::ReplicaTable &replicas, Instant now)
 {
     std::map<std::pair<std::string, ReplicaCondition>, int> counts;
+    std::map<std::string, std::pair<int, double>> limits; // Number of limited replicas, and the sum of their limits.
     for (const auto &[id, replica] : replicas.all()) {
         services_.insert(replica.entry.service);
+        auto &[limited, limit] = limits[replica.entry.service];
+        limited += replica.requestLimit ? 1 : 0;
+        limit += replica.requestLimit.value_or(0);
         ++counts[{replica.entry.service, conditionOf(replica, now)}];
     }
     // Conditions without replicas are exported as 0 rather than omitted, also when the last one of a service has gone.
@@ -102,6 +106,16 @@
             counts.try_emplace({service, condition}, 0);
         }
     }
+    for (const std::string &service : services_) {
+        registry_
+            .gauge("currantlug_replicas_limited", "Replicas that limit their request rate, as this node knows.",
+                   {{"service", service}})
+            .set(limits[service].first);
+        registry_
+            .gauge("currantlug_replica_limit_per_second", "Sum of the request rates that limited replicas state.",
+                   {{"service", service}})
+            .set(limits[service].second);
+    }
     for (const auto &[key, count] : counts) {
         registry_
             .gauge("currantlug_replicas", "Replicas by service and condition, as this node sees them.",
--- a/src/node/nodestate.cpp
+++ b/src/node/nodestate.cpp
@@ -136,7 +136,7 @@
     }
 }
 
-void Node::onReplicaLeaving(const serving::ReplicaIncarnation &incarnation, std::string_view source)
+void Node::onReplicaLeaving(const serving::ReplicaIncarnation &incarnation, StatementSource source)
 {
     if (!replicas_.recordLeaving(incarnation)) {
         return;
@@ -146,12 +146,37 @@
                    {{"replica", incarnation.id},
                     {"address", incarnation.address},
                     {"started_at_ms", incarnation.startedAtMs},
-                    {"source", source},
+                    {"source", nameOf(source)},
                     {"registered_draining", replica->entry.draining},
                     {"in_flight", replica->inFlight},
                     {"view_age_ms", absl::ToInt64Milliseconds(replicaViewAge(net::loopNow()))}});
 }
 
+void Node::onReplicaStatement(const serving::ReplicaStatement &statement)
+{
+    if (statement.leaving) {
+        onReplicaLeaving(statement.replica, StatementSource::Answer);
+    }
+    // A response without a limit may have been sent before one that states a limit, and arrive later.
+    const Instant statedAt = statement.requestLimit ? net::loopNow() : statement.requestSentAt;
+    onReplicaLimit({statement.replica, statement.requestLimit, statedAt}, StatementSource::Answer);
+}
+
+void Node::onReplicaLimit(const serving::LimitStatement &statement, StatementSource source)
+{
+    if (!replicas_.recordLimit(statement, source == StatementSource::Answer)) {
+        return;
+    }
+    const serving::Replica *replica = replicas_.find(statement.replica.id);
+    telemetry::log(Level::Info, "replica", statement.requestLimit ? "limited" : "limit_lifted",
+                   {{"replica", statement.replica.id},
+                    {"service", replica->entry.service},
+                    {"limit_per_s", statement.requestLimit.value_or(0)},
+                    {"source", nameOf(source)},
+                    {"stated_ms_ago", absl::ToInt64Milliseconds(net::loopNow() - statement.statedAt)},
+                    {"in_flight", replica->inFlight}});
+}
+
 void Node::onReplicaDelta(const ReplicaDelta &delta)
 {
     sourceUnstable_ = delta.registryUnstable;
@@ -258,6 +283,7 @@
     info.incarnation.clear();
     info.ready = info.storeReached = info.leading = info.holdsTexts = false;
     info.leavingReplicas.clear();
+    info.replicaLimits.clear();
     info.configRevision = 0;
     return node::toJson(info);
 }
--- a/src/node/peermesh.cpp
+++ b/src/node/peermesh.cpp
@@ -39,6 +39,12 @@
     for (const serving::ReplicaIncarnation &replica : info.leavingReplicas) {
         json["leaving"].push_back({replica.id, replica.address, replica.startedAtMs});
     }
+    const Instant now = net::loopNow();
+    for (const serving::LimitStatement &statement : info.replicaLimits) {
+        json["limits"].push_back({statement.replica.id, statement.replica.address, statement.replica.startedAtMs,
+                                  statement.requestLimit ? Json(*statement.requestLimit) : Json(),
+                                  absl::ToInt64Milliseconds(now - statement.statedAt)});
+    }
     return json;
 }
 
@@ -68,6 +74,21 @@
                 {replica[0].get<std::string>(), replica[1].get<std::string>(), replica[2].get<std::int64_t>()});
         }
     }
+    const Instant now = net::loopNow();
+    for (const Json &limit : fieldOrNull(value, "limits")) {
+        if (limit.is_array() && limit.size() == 5 && limit[0].is_string() && limit[1].is_string()
+            && limit[2].is_number_integer() && (limit[3].is_number() || limit[3].is_null())
+            && limit[4].is_number_integer()) {
+            serving::LimitStatement statement;
+            statement.replica = {limit[0].get<std::string>(), limit[1].get<std::string>(),
+                                 limit[2].get<std::int64_t>()};
+            if (limit[3].is_number()) {
+                statement.requestLimit = limit[3].get<double>();
+            }
+            statement.statedAt = now - absl::Milliseconds(limit[4].get<std::int64_t>());
+            info.replicaLimits.push_back(std::move(statement));
+        }
+    }
     return info;
 }
 
--- a/src/node/peermesh.h
+++ b/src/node/peermesh.h
@@ -12,7 +12,7 @@
 #include "jobs/jobcontext.h"
 #include "net/httpclient.h"
 #include "net/httpserver.h"
-#include "serving/replica.h"
+#include "serving/replicatable.h"
 
 #include <absl/status/statusor.h>
 
@@ -40,6 +40,8 @@
     double processorShare = 0; ///< Processor time of the node, in cores; 0 if it doesn't say.
     bool holdsTexts = true; ///< The node may have texts of items; true if it doesn't say.
     std::vector<serving::ReplicaIncarnation> leavingReplicas; ///< Known to leave by their own word.
+    /// What replicas have said about their request limits. The times are those of this process.
+    std::vector<serving::LimitStatement> replicaLimits;
 };
 
 Json toJson(const NodeInfo &info);
--- a/src/serving/replica.h
+++ b/src/serving/replica.h
@@ -40,6 +40,11 @@
     ReplicaEntry entry;
     /// The replica itself has said that it leaves. The registration may say so later, or may be older.
     bool leaving = false;
+    /// Requests a second that the replica takes from all nodes together, by its own word; none if it states no limit.
+    std::optional<double> requestLimit;
+    /// Time of the newest statement about the limit, also of one that lifted it.
+    Instant limitStatedAt = Instant(-absl::InfiniteDuration());
+    bool limitStatedHere = false; ///< That statement came in a response to this node.
     int inFlight = 0; ///< Requests that this node has in progress at the replica.
     int failures = 0; ///< Consecutive failures.
     Instant backoffUntil; ///< Set after a failure or a refusal; the replica is avoided until then.
--- a/src/serving/replicaport.h
+++ b/src/serving/replicaport.h
@@ -35,6 +35,8 @@
     bool instanceMismatch = false; ///< The address now belongs to another replica.
     bool requestMismatch = false; ///< The response is not shown to belong to this request and must not be used.
     bool leaving = false; ///< The replica is about to end and must get no more requests.
+    /// Requests a second that the replica takes from all nodes together; none if it states no limit.
+    std::optional<double> requestLimit;
     std::optional<ReplicaLoad> load;
     std::optional<std::uint64_t> weightVersion;
     std::string signature; ///< Signature by the replica.
--- a/src/serving/replicatable.cpp
+++ b/src/serving/replicatable.cpp
@@ -62,6 +62,34 @@
     return !std::exchange(found->second.leaving, true);
 }
 
+bool ReplicaTable::recordLimit(const LimitStatement &statement, bool heardHere)
+{
+    const auto found = replicas_.find(statement.replica.id);
+    if (found == replicas_.end() || incarnationOf(found->second.entry) != statement.replica) {
+        return false;
+    }
+    Replica &replica = found->second;
+    const bool wasNeverLimited = !replica.requestLimit && !statement.requestLimit;
+    if (wasNeverLimited || statement.statedAt <= replica.limitStatedAt) {
+        return false;
+    }
+    replica.limitStatedAt = statement.statedAt;
+    replica.limitStatedHere = heardHere;
+    return std::exchange(replica.requestLimit, statement.requestLimit) != statement.requestLimit;
+}
+
+std::vector<LimitStatement> ReplicaTable::limitStatements(Instant now) const
+{
+    std::vector<LimitStatement> statements;
+    for (const auto &[id, replica] : replicas_) {
+        if (replica.limitStatedHere
+            && (replica.requestLimit || now - replica.limitStatedAt < settings_.liftedLimitTtl)) {
+            statements.push_back({incarnationOf(replica.entry), replica.requestLimit, replica.limitStatedAt});
+        }
+    }
+    return statements;
+}
+
 std::vector<ReplicaIncarnation> ReplicaTable::leavingReplicas() const
 {
     std::vector<ReplicaIncarnation> leaving;
--- a/src/serving/replicatable.h
+++ b/src/serving/replicatable.h
@@ -31,10 +31,20 @@
     absl::Duration fullBackoff = absl::Milliseconds(60); ///< After a refusal by a full replica.
     /// After a refusal with free slots: weights are being loaded.
     absl::Duration loadingBackoff = absl::Milliseconds(250);
+    /// Other nodes are told for this time that a limit was lifted: several times the period of contact.
+    absl::Duration liftedLimitTtl = absl::Seconds(5);
     /// A reported load says nothing about the present after this time, a few times that of a plain request.
     absl::Duration loadTtl = absl::Milliseconds(150);
 };
 
+/// What a replica said about the number of requests that it takes.
+struct LimitStatement
+{
+    ReplicaIncarnation replica;
+    std::optional<double> requestLimit; ///< Requests a second from all nodes together; none if not limited.
+    Instant statedAt;
+};
+
 class ReplicaTable
 {
 public:
@@ -50,6 +60,12 @@
     /// Records that a replica has said that it leaves. It then gets no more requests, whatever its registration says.
     /// Returns false if that is known, or if the table has another incarnation or none.
     bool recordLeaving(const ReplicaIncarnation &incarnation);
+    /// Records a replica's statement about its request limit, unless a newer one is known. Returns true if the limit
+    /// changed. `heardHere`: the statement came in a response to this node.
+    bool recordLimit(const LimitStatement &statement, bool heardHere);
+    /// What other nodes are told: limits in force, and those lifted recently. Only statements heard here, since the
+    /// time of one that is passed on again and again would grow with each transfer.
+    std::vector<LimitStatement> limitStatements(Instant now) const;
     /// Replicas that have said that they leave.
     std::vector<ReplicaIncarnation> leavingReplicas() const;
     /// Erases removed replicas that did not register again in time, and discards outdated event gaps.
--- a/tests/adapter/codectest.cpp
+++ b/tests/adapter/codectest.cpp
@@ -277,6 +277,27 @@
     CHECK_FALSE(leaving(200, {{"X-Attempt-Id", "mine"}, {"X-Server-Stamp", "s"}, {"Server-Leaving", "0"}}));
 }
 
+// Guards against a limit that is taken from another replica's answer, and against one that no replica can mean.
+TEST_CASE("a request limit is read from the expected answer only, and only as a number")
+{
+    const auto limit = [](int status, const std::string &id, const std::string &value) {
+        net::HttpResponse response;
+        response.status = status;
+        response.headers.add("X-Attempt-Id", id);
+        response.headers.add("Server-Limit", value);
+        return decodeHead("mine", response).requestLimit;
+    };
+    CHECK(limit(500, "mine", "0.5") == 0.5);
+    CHECK(limit(503, "mine", "12") == 12);
+    CHECK(limit(500, "mine", "0") == 0);
+    CHECK_FALSE(limit(500, "other", "0.5").has_value());
+    CHECK_FALSE(limit(421, "mine", "0.5").has_value());
+    for (const char *value : {"", "-1", "many", "inf", "nan", "2/s"}) {
+        CAPTURE(value);
+        CHECK_FALSE(limit(500, "mine", value).has_value());
+    }
+}
+
 // Guards against memory that grows with a line or an event that a faulty replica never ends.
 TEST_CASE("a line or an event without end is given up")
 {
--- a/tests/adapter/replicaclienttest.cpp
+++ b/tests/adapter/replicaclienttest.cpp
@@ -1,6 +1,6 @@
 // Tests orders to replicas and their reports against a server that answers wrongly.
 #include "replicaclient.h"
-#include "serving/leavingport.h"
+#include "serving/observedport.h"
 
 #include "fakes/runloop.h"
 #include "net/httpclient.h"
@@ -88,15 +88,21 @@
 {
     for (const int status : {200, 503}) {
         CAPTURE(status);
-        AnsweringReplica replica(
-            status,
-            {{"X-Attempt-Id", "q"}, {"X-Server-Stamp", "s"}, {"X-Weight-Versions", "3"}, {"Server-Leaving", "1"}}, "");
+        AnsweringReplica replica(status,
+                                 {{"X-Attempt-Id", "q"},
+                                  {"X-Server-Stamp", "s"},
+                                  {"X-Weight-Versions", "3"},
+                                  {"Server-Leaving", "1"},
+                                  {"Server-Limit", "2.5"}},
+                                 "");
         int marks = 0;
         bool forwarded = false;
         int done = 0;
         const serving::ReplicaPort port =
-            serving::leavingPort(replicaPort(replica.client), [&](const serving::ReplicaIncarnation &incarnation) {
-                CHECK(incarnation == serving::incarnationOf(replica.replica.entry));
+            serving::observedPort(replicaPort(replica.client), [&](const serving::ReplicaStatement &statement) {
+                CHECK(statement.replica == serving::incarnationOf(replica.replica.entry));
+                CHECK(statement.leaving);
+                CHECK(statement.requestLimit == 2.5);
                 ++marks;
             });
         serving::OutboundRequest request;
