Keep to the request limits of replicas over all nodes: one node issues the permits of each replica

Cause: nobody read the limit, and each node counts only its own requests. Ruled out: hedges and retries (2 of 687). Change: a request to a limited replica needs a permit. Its issuer is chosen by rendezvous hashing among the nodes in contact in the replica's zone; it runs a virtual schedule for each replica (GCRA, a second's burst). Requests wait up to half of the target latency, else are refused at once with the time of the next permit; items and reward calls wait in their job. A new issuer begins a second after a change of the nodes.

--- a/src/jobs/jobrunner.cpp
+++ b/src/jobs/jobrunner.cpp
@@ -157,6 +157,7 @@
     item.attemptBytes = 0;
     groupReplica_[item.spec.group] = replica.entry.id;
     ++replica.inFlight;
+    serving::ReplicaTable::usePermit(replica, now);
 
     serving::OutboundRequest outbound;
     outbound.id = item.spec.id;
--- a/src/jobs/rewardcaller.cpp
+++ b/src/jobs/rewardcaller.cpp
@@ -84,6 +84,7 @@
     }
     call.tried.insert(replica->entry.id);
     ++replica->inFlight;
+    serving::ReplicaTable::usePermit(*replica, now);
     serving::OutboundRequest outbound;
     outbound.id = call.reward.id;
     outbound.method = "POST";
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -88,7 +88,7 @@
 
 /// Adds to the ports of the binding what the node observes of their calls.
 PlatformBinding observed(PlatformBinding binding, telemetry::MetricsRegistry &metrics,
-                         serving::StatementHandler onStatement,
+                         const serving::StatementHandler &onStatement,
                          std::function<void(const serving::ReplicaIncarnation &)> onLeaving)
 {
     binding.store = objects::meteredPort(std::move(binding.store), metrics);
@@ -122,10 +122,15 @@
           [this](const serving::ReplicaIncarnation &replica) { onReplicaLeaving(replica, StatementSource::Answer); }))
     , incarnation_(randomHex(6))
     , replicas_(tableSettings(settings_))
+    , permitLedger_(serving::PermitLedgerSettings{})
     , counts_(settings_.usageWindow)
     , mesh_(loop, client, {}, [this] { return info(); })
     , relayedStore_(binding_.store, mesh_, [this] { return storeReached(); })
-    , requests_(loop, replicas_, binding_.replicas, {},
+    , requests_(loop, replicas_, binding_.replicas,
+                [this](const serving::PermitRequest &request, std::function<void(const serving::PermitReply &)> done) {
+                    requestPermits(request, std::move(done));
+                },
+                {},
                 {[this](const std::string &workspace) { counts_.add(workspace, absl::Now()); },
                  [this](serving::RouteKind kind, std::string_view outcome, int status, absl::Duration elapsed) {
                      metrics_.recordRequest(kind, outcome, status, elapsed);
@@ -468,6 +473,10 @@
                                       configRevision()));
         return true;
     }
+    if (method == PermitsMethod) {
+        reply(answerPermits(body));
+        return true;
+    }
     if (method == "node/snapshot") {
         reply(snapshot(fieldOr<std::uint64_t>(body, "config", 0)));
         return true;
@@ -525,6 +534,8 @@
     if (!stopping_) {
         controller_->poll();
     }
+    requestWantedPermits();
+    permitLedger_.expire(now);
     jobs_->tick();
 }
 
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -16,6 +16,7 @@
 #include "node/watchplan.h"
 #include "objects/objectmirror.h"
 #include "serving/observedport.h"
+#include "serving/permitledger.h"
 #include "serving/requestrunner.h"
 
 #include <functional>
@@ -118,6 +119,7 @@
 
 private:
     static constexpr const char *NodeKind = "nodes"; ///< Object kind of the registrations of nodes.
+    static constexpr const char *PermitsMethod = "replica/permits";
 
     NodeInfo info() const;
     /// Answers that the request was not executed and can be retried soon.
@@ -134,6 +136,14 @@
     /// Handles what a replica said about itself in a response to this node.
     void onReplicaStatement(const serving::ReplicaStatement &statement);
     void onReplicaLimit(const serving::LimitStatement &statement, StatementSource source);
+    /// Obtains permits from the node that issues those of the replica, which may be this one.
+    void requestPermits(const serving::PermitRequest &request, std::function<void(const serving::PermitReply &)> done);
+    /// Requests the permits that items and background calls wait for.
+    void requestWantedPermits();
+    /// Name of the node that issues the permits of a replica.
+    std::string permitIssuer(const std::string &replica, const std::string &availabilityZone) const;
+    serving::PermitReply issuePermits(const serving::PermitRequest &request);
+    Json answerPermits(const Json &body);
     void onReplicaDelta(const ReplicaDelta &delta);
     /// Removes the replicas that aren't registered according to a complete list as of `revision` of the store; 0 if the
     /// revision isn't known.
@@ -185,6 +195,7 @@
     PlatformBinding binding_;
     std::string incarnation_;
     serving::ReplicaTable replicas_;
+    serving::PermitLedger permitLedger_; ///< Of the replicas whose permits this node issues.
     control::RequestCounts counts_;
     PeerMesh mesh_;
     RelayedStore relayedStore_;
--- a/src/node/nodemetrics.cpp
+++ b/src/node/nodemetrics.cpp
@@ -3,6 +3,8 @@
 
 #include "telemetry/log.h"
 
+#include <algorithm>
+
 namespace currantlug::node {
 
 namespace {
@@ -89,6 +91,14 @@
         .record(elapsed);
 }
 
+void NodeMetrics::recordPermits(std::size_t issued)
+{
+    registry_
+        .counter("currantlug_permits_total", "Permits for replicas that limit their request rate, issued by this node.",
+                 {{"outcome", issued > 0 ? "issued" : "refused"}})
+        .add(std::max<std::size_t>(issued, 1));
+}
+
 void NodeMetrics::setReplicas(const serving::ReplicaTable &replicas, Instant now)
 {
     std::map<std::pair<std::string, ReplicaCondition>, int> counts;
--- a/src/node/nodemetrics.h
+++ b/src/node/nodemetrics.h
@@ -67,6 +67,9 @@
     /// Records a finished reward call.
     void recordReward(jobs::RewardOutcome outcome, absl::Duration elapsed);
 
+    /// Records an answered request for permits; it counts as refused if none was issued.
+    void recordPermits(std::size_t issued);
+
     /// Updates the gauges and returns all metrics in text format.
     std::string exposition(const NodeStatus &status, const serving::ReplicaTable &replicas, Instant now);
 
--- /dev/null
+++ b/src/node/nodepermits.cpp
@@ -0,0 +1,158 @@
+// Permits for requests to replicas that limit their request rate: requested from peers, and issued to them.
+#include "node/node.h"
+
+#include "telemetry/log.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace currantlug::node {
+
+using telemetry::Level;
+
+namespace {
+
+constexpr absl::Duration PermitTimeout = absl::Milliseconds(250); // Several round trips between regions.
+// After a request for permits that failed. The issuer may have ended; its peers notice within seconds.
+constexpr absl::Duration PermitRetryDelay = absl::Milliseconds(300);
+// Items and background calls look for permits several times a second; a batch covers the time between.
+constexpr absl::Duration PermitBatchTime = absl::Milliseconds(300);
+
+Json toJson(const serving::PermitRequest &request)
+{
+    return {{"replica", {request.replica.id, request.replica.address, request.replica.startedAtMs}},
+            {"zone", request.availabilityZone},
+            {"limit", request.requestsPerSecond},
+            {"stated_ms_ago", absl::ToInt64Milliseconds(net::loopNow() - request.limitStatedAt)},
+            {"count", request.count},
+            {"wait_ms", absl::ToDoubleMilliseconds(request.maxWait)}};
+}
+
+std::optional<serving::PermitRequest> parsePermitRequest(const Json &body)
+{
+    const Json replica = fieldOrNull(body, "replica");
+    if (!replica.is_array() || replica.size() != 3 || !replica[0].is_string() || !replica[1].is_string()
+        || !replica[2].is_number_integer()) {
+        return std::nullopt;
+    }
+    serving::PermitRequest request;
+    request.replica = {replica[0].get<std::string>(), replica[1].get<std::string>(), replica[2].get<std::int64_t>()};
+    request.availabilityZone = fieldOr<std::string>(body, "zone", "");
+    request.requestsPerSecond = fieldOr<double>(body, "limit", 0);
+    request.limitStatedAt = net::loopNow() - absl::Milliseconds(fieldOr<std::int64_t>(body, "stated_ms_ago", 0));
+    request.count = fieldOr<int>(body, "count", 1);
+    request.maxWait = absl::Milliseconds(fieldOr<double>(body, "wait_ms", 0));
+    return request;
+}
+
+Json toJson(const serving::PermitReply &reply)
+{
+    Json delays = Json::array();
+    for (const absl::Duration delay : reply.delays) {
+        delays.push_back(absl::ToDoubleMilliseconds(delay));
+    }
+    return {{"delays_ms", std::move(delays)}, {"next_ms", absl::ToDoubleMilliseconds(reply.nextIn)}};
+}
+
+/// Nothing if the peer doesn't issue permits of the replica.
+std::optional<serving::PermitReply> parsePermitReply(const Json &body)
+{
+    const Json delays = fieldOrNull(body, "delays_ms");
+    if (!delays.is_array()) {
+        return std::nullopt;
+    }
+    serving::PermitReply reply;
+    for (const Json &delay : delays) {
+        if (delay.is_number()) {
+            reply.delays.push_back(absl::Milliseconds(delay.get<double>()));
+        }
+    }
+    reply.nextIn = absl::Milliseconds(fieldOr<double>(body, "next_ms", 0));
+    return reply;
+}
+
+} // namespace
+
+std::string Node::permitIssuer(const std::string &replica, const std::string &availabilityZone) const
+{
+    std::vector<serving::PermitIssuer> candidates{{settings_.name, settings_.availabilityZone}};
+    for (const NodeInfo &node : mesh_.contacts()) {
+        if (!node.stopping) {
+            candidates.push_back({node.name, node.availabilityZone});
+        }
+    }
+    return serving::choosePermitIssuer(replica, availabilityZone, candidates);
+}
+
+serving::PermitReply Node::issuePermits(const serving::PermitRequest &request)
+{
+    serving::PermitRequest current = request;
+    onReplicaLimit({request.replica, request.requestsPerSecond, request.limitStatedAt}, StatementSource::Peer);
+    const serving::Replica *replica = replicas_.find(request.replica.id);
+    if (replica != nullptr && replica->requestLimit && serving::incarnationOf(replica->entry) == request.replica) {
+        current.requestsPerSecond = *replica->requestLimit;
+    }
+    permitLedger_.recordMembershipChange(mesh_.membershipChangedAt());
+    serving::PermitReply reply = permitLedger_.issue(current, net::loopNow());
+    metrics_.recordPermits(reply.delays.size());
+    return reply;
+}
+
+Json Node::answerPermits(const Json &body)
+{
+    const auto request = parsePermitRequest(body);
+    if (!request || permitIssuer(request->replica.id, request->availabilityZone) != settings_.name) {
+        telemetry::log(Level::Info, "permits", "not_issued",
+                       {{"replica", request ? request->replica.id : std::string()}, {"readable", request.has_value()}});
+        return Json::object();
+    }
+    return toJson(issuePermits(*request));
+}
+
+void Node::requestPermits(const serving::PermitRequest &request, std::function<void(const serving::PermitReply &)> done)
+{
+    const std::string issuer = permitIssuer(request.replica.id, request.availabilityZone);
+    if (issuer == settings_.name) {
+        done(issuePermits(request));
+        return;
+    }
+    mesh_.call(issuer, PermitsMethod, toJson(request), PermitTimeout,
+               [issuer, replica = request.replica.id, done = std::move(done)](const absl::StatusOr<Json> &answer) {
+                   const auto reply = answer.ok() ? parsePermitReply(*answer) : std::nullopt;
+                   if (!reply) {
+                       telemetry::log(Level::Warning, "permits", "request_failed",
+                                      {{"replica", replica},
+                                       {"issuer", issuer},
+                                       {"message", answer.ok() ? "" : std::string(answer.status().message())}});
+                       done({{}, PermitRetryDelay});
+                       return;
+                   }
+                   done(*reply);
+               });
+}
+
+void Node::requestWantedPermits()
+{
+    for (const serving::Replica *replica : replicas_.takePermitsWanted(net::loopNow())) {
+        serving::PermitRequest request;
+        request.replica = serving::incarnationOf(replica->entry);
+        request.availabilityZone = replica->entry.availabilityZone;
+        request.requestsPerSecond = *replica->requestLimit;
+        request.limitStatedAt = replica->limitStatedAt;
+        request.count = std::max(
+            1, static_cast<int>(std::ceil(request.requestsPerSecond * absl::ToDoubleSeconds(PermitBatchTime))));
+        request.maxWait = PermitBatchTime;
+        requestPermits(request, [this, incarnation = request.replica](const serving::PermitReply &reply) {
+            serving::Replica *known = replicas_.find(incarnation.id);
+            if (known != nullptr && serving::incarnationOf(known->entry) == incarnation) {
+                replicas_.addPermits(*known, reply, net::loopNow());
+                jobs_->dispatchItems();
+                // Items that still wait take what is left of a burst without waiting for the next tick.
+                boost::asio::post(loop_, [this] { requestWantedPermits(); });
+            }
+        });
+    }
+}
+
+} // namespace currantlug::node
--- a/src/node/peermesh.cpp
+++ b/src/node/peermesh.cpp
@@ -98,6 +98,7 @@
     , settings_(settings)
     , self_(std::move(self))
     , startedAt_(net::loopNow())
+    , membershipChangedAt_(startedAt_)
 {
 }
 
@@ -148,6 +149,7 @@
     std::vector<std::string> silent;
     for (auto &[name, peer] : peers_) {
         if (peer.wasInContact && !inContact(peer)) {
+            membershipChangedAt_ = now;
             peer.wasInContact = false;
             lost.push_back(name);
         }
@@ -219,6 +221,7 @@
             found->second.lastHeard = Instant();
             found->second.refused = true;
             if (std::exchange(found->second.wasInContact, false)) {
+                membershipChangedAt_ = net::loopNow();
                 telemetry::log(Level::Warning, "mesh", "node_refuses", {{"node", name}});
                 lostHandler_(name, found->second.info.holdsTexts);
             }
@@ -239,6 +242,7 @@
     peer.control = info.control;
     peer.info = info;
     if (restarted || beganStopping) {
+        membershipChangedAt_ = net::loopNow();
         telemetry::log(Level::Info, "mesh", restarted ? "node_restarted" : "node_stopping", {{"node", info.name}});
         lostHandler_(info.name, heldTexts);
     }
@@ -251,6 +255,7 @@
     peer.lastHeard = net::loopNow();
     peer.refused = false;
     if (!std::exchange(peer.wasInContact, true)) {
+        membershipChangedAt_ = peer.lastHeard;
         telemetry::log(Level::Info, "mesh", "node_found",
                        {{"node", info.name}, {"incarnation", info.incarnation}, {"known", peers_.size()}});
     }
--- a/src/node/peermesh.h
+++ b/src/node/peermesh.h
@@ -108,6 +108,8 @@
     bool allInContact() const;
     /// Names of the known peers that aren't in contact.
     std::vector<std::string> outOfContact() const;
+    /// Time at which a peer was last found, lost, restarted or began to stop.
+    Instant membershipChangedAt() const { return membershipChangedAt_; }
     /// Name of a peer in contact that reaches the object store; empty if there is none.
     std::string peerWithStore() const;
 
@@ -147,6 +149,7 @@
     Instant startedAt_;
     std::map<std::string, Peer> peers_; ///< By name, excluding this node.
     std::vector<std::string> seeds_;
+    Instant membershipChangedAt_;
 };
 
 } // namespace currantlug::node
--- a/src/serving/replica.h
+++ b/src/serving/replica.h
@@ -7,6 +7,7 @@
 #include <absl/time/time.h>
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -35,6 +36,13 @@
     int slots = 0;
 };
 
+/// Permission to send one request to a replica that limits its request rate.
+struct Permit
+{
+    Instant usableAt;
+    Instant expiresAt;
+};
+
 struct Replica
 {
     ReplicaEntry entry;
@@ -45,6 +53,10 @@
     /// Time of the newest statement about the limit, also of one that lifted it.
     Instant limitStatedAt = Instant(-absl::InfiniteDuration());
     bool limitStatedHere = false; ///< That statement came in a response to this node.
+    std::deque<Permit> permits; ///< Issued to this node and not used yet, by time.
+    Instant nextPermitAt; ///< No further permit is expected before this time.
+    bool permitWanted = false; ///< An item or a background call found no permit.
+    bool permitRequested = false; ///< Permits for those are on their way.
     int inFlight = 0; ///< Requests that this node has in progress at the replica.
     int failures = 0; ///< Consecutive failures.
     Instant backoffUntil; ///< Set after a failure or a refusal; the replica is avoided until then.
--- a/src/serving/replicatable.cpp
+++ b/src/serving/replicatable.cpp
@@ -16,6 +16,13 @@
 // One in this many slots of a replica is kept free of background calls.
 constexpr int ReservedSlotsDivisor = 3;
 
+void wantPermits(const std::vector<Replica *> &replicas)
+{
+    for (Replica *replica : replicas) {
+        replica->permitWanted = true;
+    }
+}
+
 int slownessRank(absl::Duration gap, absl::Duration fastGap)
 {
     if (fastGap == absl::ZeroDuration() || gap <= fastGap * EqualGapFactor) {
@@ -75,6 +82,10 @@
     }
     replica.limitStatedAt = statement.statedAt;
     replica.limitStatedHere = heardHere;
+    if (!statement.requestLimit) {
+        replica.permits.clear();
+        replica.permitWanted = false;
+    }
     return std::exchange(replica.requestLimit, statement.requestLimit) != statement.requestLimit;
 }
 
@@ -128,17 +139,29 @@
     return found != settings_.regionOfZone.end() && found->second == settings_.region ? 1 : 2;
 }
 
-Replica *ReplicaTable::chooseForRequest(std::string_view service, const std::set<std::string> &tried, Instant now)
+Replica *ReplicaTable::chooseForRequest(std::string_view service, const std::set<std::string> &tried, Instant now,
+                                        const LimitedReplicas &limited)
 {
     Replica *best = nullptr;
-    std::tuple<bool, bool, int, int> bestRank;
+    std::tuple<bool, bool, bool, absl::Duration, int, int> bestRank;
     for (auto &[id, replica] : replicas_) {
         if (replica.entry.service != service || !replica.acceptsRequests() || replica.removeAt <= now
             || tried.contains(id)) {
             continue;
         }
-        const std::tuple<bool, bool, int, int> rank{replica.backoffUntil > now, replica.inFlight >= replica.entry.slots,
-                                                    replica.inFlight / 2 + zoneDistance(replica), replica.inFlight};
+        absl::Duration permitWait;
+        if (replica.requestLimit && !hasPermit(replica, now)) {
+            permitWait = std::max(absl::ZeroDuration(), replica.nextPermitAt - now);
+        }
+        if (replica.requestLimit && (!limited.allowed || permitWait > limited.maxPermitWait)) {
+            continue;
+        }
+        const std::tuple<bool, bool, bool, absl::Duration, int, int> rank{replica.backoffUntil > now,
+                                                                          replica.inFlight >= replica.entry.slots,
+                                                                          replica.requestLimit.has_value(),
+                                                                          permitWait,
+                                                                          replica.inFlight / 2 + zoneDistance(replica),
+                                                                          replica.inFlight};
         if (best == nullptr || rank < bestRank) {
             best = &replica;
             bestRank = rank;
@@ -147,6 +170,59 @@
     return best;
 }
 
+bool ReplicaTable::hasPermit(const Replica &replica, Instant now)
+{
+    return !replica.requestLimit
+        || std::any_of(replica.permits.begin(), replica.permits.end(),
+                       [now](const Permit &permit) { return permit.usableAt <= now && now < permit.expiresAt; });
+}
+
+void ReplicaTable::usePermit(Replica &replica, Instant now)
+{
+    std::erase_if(replica.permits, [now](const Permit &permit) { return permit.expiresAt <= now; });
+    if (replica.requestLimit && !replica.permits.empty()) {
+        replica.permits.pop_front();
+    }
+}
+
+void ReplicaTable::addPermits(Replica &replica, const PermitReply &reply, Instant now) const
+{
+    for (const absl::Duration delay : reply.delays) {
+        replica.permits.push_back({now + delay, now + delay + settings_.permitTtl});
+    }
+    std::sort(replica.permits.begin(), replica.permits.end(),
+              [](const Permit &one, const Permit &other) { return one.usableAt < other.usableAt; });
+    replica.nextPermitAt = now + reply.nextIn;
+    replica.permitRequested = false;
+}
+
+std::optional<absl::Duration> ReplicaTable::nextPermitIn(std::string_view service, Instant now) const
+{
+    std::optional<absl::Duration> next;
+    for (const auto &[id, replica] : replicas_) {
+        if (replica.entry.service == service && replica.requestLimit && replica.acceptsRequests()
+            && replica.removeAt > now) {
+            next = std::min(next.value_or(absl::InfiniteDuration()),
+                            std::max(absl::ZeroDuration(), replica.nextPermitAt - now));
+        }
+    }
+    return next;
+}
+
+std::vector<Replica *> ReplicaTable::takePermitsWanted(Instant now)
+{
+    std::vector<Replica *> wanted;
+    for (auto &[id, replica] : replicas_) {
+        if (replica.permitWanted && !replica.permitRequested && replica.requestLimit
+            && replica.nextPermitAt - now <= settings_.itemPermitWait) {
+            replica.permitWanted = false;
+            replica.permitRequested = true;
+            wanted.push_back(&replica);
+        }
+    }
+    return wanted;
+}
+
 int ReplicaTable::knownLoad(const Replica &replica, Instant now) const
 {
     if (now - replica.loadAt > settings_.loadTtl) {
@@ -158,7 +234,8 @@
 Replica *ReplicaTable::chooseForBackground(std::string_view service, const std::set<std::string> &tried, Instant now)
 {
     Replica *best = nullptr;
-    std::pair<int, int> bestRank;
+    std::tuple<bool, int, int> bestRank;
+    std::vector<Replica *> withoutPermit;
     for (auto &[id, replica] : replicas_) {
         if (replica.entry.service != service || !replica.acceptsRequests() || replica.removeAt <= now
             || replica.backoffUntil > now || tried.contains(id)) {
@@ -168,12 +245,19 @@
         if (load >= replica.entry.slots - replica.entry.slots / ReservedSlotsDivisor) {
             continue;
         }
-        const std::pair<int, int> rank{load / 2 + zoneDistance(replica), load};
+        if (!hasPermit(replica, now)) {
+            withoutPermit.push_back(&replica);
+            continue;
+        }
+        const std::tuple<bool, int, int> rank{replica.requestLimit.has_value(), load / 2 + zoneDistance(replica), load};
         if (best == nullptr || rank < bestRank) {
             best = &replica;
             bestRank = rank;
         }
     }
+    if (best == nullptr) {
+        wantPermits(withoutPermit);
+    }
     return best;
 }
 
@@ -195,12 +279,17 @@
 {
     const absl::Duration fastGap = fastEventGap(requirements);
     Replica *best = nullptr;
-    std::tuple<int, bool, bool, bool, int, int> bestRank;
+    std::tuple<bool, int, bool, bool, bool, int, int> bestRank;
+    std::vector<Replica *> withoutPermit;
     for (auto &[id, replica] : replicas_) {
         if (!canRun(replica, requirements) || replica.removeAt <= now || replica.backoffUntil > now
             || replica.inFlight >= replica.entry.slots || excluded.contains(id)) {
             continue;
         }
+        if (!hasPermit(replica, now)) {
+            withoutPermit.push_back(&replica);
+            continue;
+        }
         bool planned = true;
         if (requirements.plan != nullptr && !requirements.plan->empty()) {
             const auto found = requirements.plan->find(id);
@@ -208,17 +297,21 @@
         }
         // The preferred replica is chosen over less loaded ones until more than half of its slots are taken.
         const bool notPreferred = id != requirements.preferred || replica.inFlight * 2 > replica.entry.slots;
-        const std::tuple<int, bool, bool, bool, int, int> rank{slownessRank(replica.eventGap, fastGap),
-                                                               !planned,
-                                                               replica.entry.spot,
-                                                               notPreferred,
-                                                               replica.inFlight,
-                                                               zoneDistance(replica)};
+        const std::tuple<bool, int, bool, bool, bool, int, int> rank{replica.requestLimit.has_value(),
+                                                                     slownessRank(replica.eventGap, fastGap),
+                                                                     !planned,
+                                                                     replica.entry.spot,
+                                                                     notPreferred,
+                                                                     replica.inFlight,
+                                                                     zoneDistance(replica)};
         if (best == nullptr || rank < bestRank) {
             best = &replica;
             bestRank = rank;
         }
     }
+    if (best == nullptr) {
+        wantPermits(withoutPermit);
+    }
     return best;
 }
 
--- a/src/serving/replicatable.h
+++ b/src/serving/replicatable.h
@@ -6,6 +6,7 @@
 #ifndef CURRANTLUG_SERVING_REPLICATABLE_H
 #define CURRANTLUG_SERVING_REPLICATABLE_H
 
+#include "serving/permitissuer.h"
 #include "serving/replica.h"
 
 #include <map>
@@ -33,6 +34,10 @@
     absl::Duration loadingBackoff = absl::Milliseconds(250);
     /// Other nodes are told for this time that a limit was lifted: several times the period of contact.
     absl::Duration liftedLimitTtl = absl::Seconds(5);
+    /// A permit that wasn't used by this time after it became usable is void: the rate must hold in any few seconds.
+    absl::Duration permitTtl = absl::Milliseconds(500);
+    /// Longest wait for the permits of items and background calls.
+    absl::Duration itemPermitWait = absl::Milliseconds(300);
     /// A reported load says nothing about the present after this time, a few times that of a plain request.
     absl::Duration loadTtl = absl::Milliseconds(150);
 };
@@ -74,9 +79,16 @@
     Replica *find(const std::string &id);
     const std::map<std::string, Replica> &all() const { return replicas_; }
 
+    /// Which replicas with a request limit may be chosen.
+    struct LimitedReplicas
+    {
+        bool allowed = true;
+        absl::Duration maxPermitWait = absl::InfiniteDuration(); ///< Only those that may have a permit by then.
+    };
     /// Returns the best replica of a service for a client request: not leaving, not in `tried`, with low load and
-    /// nearby. Replicas in backoff come last. Null if there is none.
-    Replica *chooseForRequest(std::string_view service, const std::set<std::string> &tried, Instant now);
+    /// nearby. Replicas in backoff come last, and those with a request limit after the others. Null if there is none.
+    Replica *chooseForRequest(std::string_view service, const std::set<std::string> &tried, Instant now,
+                              const LimitedReplicas &limited = {true, absl::InfiniteDuration()});
 
     /// Returns the best replica of a service for a background call, which must not delay client requests: a third of
     /// the slots of each replica stays free, and replicas in backoff are left out. Null if there is none.
@@ -98,6 +110,18 @@
     /// third; the shortest gap counts. Zero if no gap is known.
     absl::Duration fastEventGap(const ItemRequirements &requirements) const;
 
+    /// True if a request may be sent to the replica now: it has no request limit, or this node has a permit.
+    static bool hasPermit(const Replica &replica, Instant now);
+    /// Uses up a permit, if the replica has a request limit.
+    static void usePermit(Replica &replica, Instant now);
+    /// Adds permits issued to this node for later use.
+    void addPermits(Replica &replica, const PermitReply &reply, Instant now) const;
+    /// Time until a replica of the service with a request limit may have a permit; none if there is no such replica.
+    std::optional<absl::Duration> nextPermitIn(std::string_view service, Instant now) const;
+    /// Replicas whose permits items or background calls wait for. The caller requests some; each is returned again only
+    /// after addPermits().
+    std::vector<Replica *> takePermitsWanted(Instant now);
+
     /// Records the load that the replica reported with a response.
     static void recordLoad(Replica &replica, const std::optional<ReplicaLoad> &load, Instant now);
     void recordSuccess(Replica &replica);
--- a/src/serving/requestrunner.cpp
+++ b/src/serving/requestrunner.cpp
@@ -31,6 +31,8 @@
     std::string workspace;
     Instant deadline; ///< When the final response is due.
     absl::Duration hedgeDelay;
+    absl::Duration maxPermitWait;
+    bool waitingForPermit = false;
     std::vector<Attempt> attempts;
     std::set<std::string> tried;
     bool finished = false;
@@ -50,11 +52,12 @@
     }
 };
 
-RequestRunner::RequestRunner(net::Loop &loop, ReplicaTable &replicas, ReplicaPort port, RequestRunnerSettings settings,
-                             Observer observer)
+RequestRunner::RequestRunner(net::Loop &loop, ReplicaTable &replicas, ReplicaPort port, PermitSource permits,
+                             RequestRunnerSettings settings, Observer observer)
     : loop_(loop)
     , replicas_(replicas)
     , port_(std::move(port))
+    , permits_(std::move(permits))
     , settings_(settings)
     , observer_(std::move(observer))
 {
@@ -74,6 +77,7 @@
     const absl::Duration limit = std::min(clientTimeout, route.timeout);
     active->deadline = request.arrived + limit - std::min(settings_.responseMargin, limit * 0.1);
     active->hedgeDelay = route.targetLatency * settings_.hedgeFraction;
+    active->maxPermitWait = std::min(route.targetLatency, limit) * settings_.permitWaitFraction;
     active->request = std::move(request);
     const std::weak_ptr<ActiveRequest> weak = active;
     active->sink.onClientGone([this, weak] {
@@ -99,15 +103,99 @@
 void RequestRunner::startAttempt(const ActiveRequestPtr &active)
 {
     const Instant now = net::loopNow();
-    Replica *replica = replicas_.chooseForRequest(active->service, active->tried, now);
+    ReplicaTable::LimitedReplicas limited;
+    limited.allowed = !active->anyPending();
+    limited.maxPermitWait = std::min(active->maxPermitWait, (active->deadline - now) * settings_.permitWaitFraction);
+    Replica *replica = replicas_.chooseForRequest(active->service, active->tried, now, limited);
     if (replica == nullptr) {
         if (!active->anyPending()) {
-            const int status = active->mayHaveRun ? 502 : 503;
-            rejectRequest(active->sink, status, "no replica available", settings_.retryAfter);
-            finish(active, "no_replica", status);
+            refuseWithoutReplica(active);
         }
+    } else if (ReplicaTable::hasPermit(*replica, now)) {
+        ReplicaTable::usePermit(*replica, now);
+        sendAttempt(active, *replica);
+    } else {
+        awaitPermit(active, *replica);
+    }
+}
+
+void RequestRunner::refuseWithoutReplica(const ActiveRequestPtr &active)
+{
+    const int status = active->mayHaveRun ? 502 : 503;
+    const auto permitIn = replicas_.nextPermitIn(active->service, net::loopNow());
+    if (!permitIn) {
+        rejectRequest(active->sink, status, "no replica available", settings_.retryAfter);
+        finish(active, "no_replica", status);
+        return;
+    }
+    const double spread = std::uniform_real_distribution<double>(0, settings_.retryAfterSpread)(random_);
+    rejectRequest(active->sink, status, "replicas limit their request rate",
+                  std::max(settings_.retryAfter, *permitIn) * (1 + spread));
+    finish(active, "limited", status);
+}
+
+void RequestRunner::awaitPermit(const ActiveRequestPtr &active, const Replica &replica)
+{
+    active->waitingForPermit = true;
+    const ReplicaIncarnation incarnation = incarnationOf(replica.entry);
+    PermitRequest request;
+    request.replica = incarnation;
+    request.availabilityZone = replica.entry.availabilityZone;
+    request.requestsPerSecond = *replica.requestLimit;
+    request.limitStatedAt = replica.limitStatedAt;
+    request.maxWait = active->maxPermitWait;
+    permits_(request,
+             [this, active, incarnation](const PermitReply &reply) { onPermitReply(active, incarnation, reply); });
+}
+
+Replica *RequestRunner::findIncarnation(const ReplicaIncarnation &incarnation) const
+{
+    Replica *replica = replicas_.find(incarnation.id);
+    return replica != nullptr && incarnationOf(replica->entry) == incarnation ? replica : nullptr;
+}
+
+void RequestRunner::onPermitReply(const ActiveRequestPtr &active, const ReplicaIncarnation &incarnation,
+                                  const PermitReply &reply)
+{
+    const Instant now = net::loopNow();
+    if (Replica *replica = findIncarnation(incarnation)) {
+        replicas_.addPermits(*replica, reply, now);
+    }
+    if (reply.delays.empty()) {
+        active->waitingForPermit = false;
+        active->tried.insert(incarnation.id);
+        if (!active->finished) {
+            startAttempt(active);
+        }
+        return;
+    }
+    if (reply.delays.front() <= absl::ZeroDuration()) {
+        onPermitUsable(active, incarnation);
         return;
     }
+    net::runAfter(loop_, reply.delays.front(), [this, active, incarnation] { onPermitUsable(active, incarnation); });
+}
+
+void RequestRunner::onPermitUsable(const ActiveRequestPtr &active, const ReplicaIncarnation &incarnation)
+{
+    active->waitingForPermit = false;
+    if (active->finished) {
+        return; // The permit stays for another request.
+    }
+    const Instant now = net::loopNow();
+    Replica *replica = findIncarnation(incarnation);
+    if (replica != nullptr && replica->acceptsRequests() && ReplicaTable::hasPermit(*replica, now)) {
+        ReplicaTable::usePermit(*replica, now);
+        sendAttempt(active, *replica);
+    } else {
+        // Another request has used the permit, or the replica leaves.
+        startAttempt(active);
+    }
+}
+
+void RequestRunner::sendAttempt(const ActiveRequestPtr &active, Replica &replica)
+{
+    const Instant now = net::loopNow();
     OutboundRequest outbound;
     outbound.id = active->request.id;
     outbound.method = active->request.method;
@@ -120,8 +208,8 @@
     outbound.resumeAfter = active->request.resumeAfter;
 
     const std::size_t index = active->attempts.size();
-    active->tried.insert(replica->entry.id);
-    ++replica->inFlight;
+    active->tried.insert(replica.entry.id);
+    ++replica.inFlight;
     net::ClientLimits limits;
     limits.connect = settings_.connectTimeout;
     limits.total = active->deadline - now;
@@ -139,8 +227,8 @@
     handlers.onDone = [this, active, index](const ReplicaHead &head, absl::StatusOr<net::HttpResponse> response) {
         onDone(active, index, head, std::move(response));
     };
-    active->attempts.push_back({replica->entry.id, 0, true, false});
-    active->attempts[index].call = port_.send(*replica, outbound, limits, std::move(handlers));
+    active->attempts.push_back({replica.entry.id, 0, true, false});
+    active->attempts[index].call = port_.send(replica, outbound, limits, std::move(handlers));
     scheduleHedge(active);
 }
 
@@ -152,7 +240,8 @@
     }
     net::runAfter(loop_, active->hedgeDelay, [this, weak = std::weak_ptr<ActiveRequest>(active)] {
         const ActiveRequestPtr locked = weak.lock();
-        if (locked == nullptr || locked->finished || locked->attempts.size() != 1 || !canRetry(*locked)) {
+        if (locked == nullptr || locked->finished || locked->attempts.size() != 1 || locked->waitingForPermit
+            || !canRetry(*locked)) {
             return;
         }
         telemetry::log(Level::Info, "request", "hedge",
--- a/src/serving/requestrunner.h
+++ b/src/serving/requestrunner.h
@@ -3,15 +3,21 @@
 // Designed for a stream of small requests to plain services with a few replicas each, some of which are unresponsive,
 // slow, full or draining. A request of a safe route without a response after the hedge delay is also sent to a second
 // replica. A request that is not idempotent is retried only if it is known that the previous replica did not run it.
+//
+// A request to a replica that limits its request rate waits for a permit, unless it would then be late: it is refused
+// at once, with the time when a permit is expected. Replicas without a limit are used first, and get all hedged
+// requests.
 #ifndef CURRANTLUG_SERVING_REQUESTRUNNER_H
 #define CURRANTLUG_SERVING_REQUESTRUNNER_H
 
 #include "net/eventloop.h"
 #include "serving/gatewayconfig.h"
+#include "serving/permitissuer.h"
 #include "serving/replicaport.h"
 #include "serving/replicatable.h"
 
 #include <memory>
+#include <random>
 #include <set>
 #include <string>
 #include <vector>
@@ -22,6 +28,10 @@
 {
     /// A request of a safe route is hedged after this fraction of the route's target latency.
     double hedgeFraction = 0.5;
+    /// A request waits for a permit for up to this fraction of the route's target latency, and of the time left.
+    double permitWaitFraction = 0.5;
+    /// Clients that return at the time of the next permit are spread by up to this fraction of the wait.
+    double retryAfterSpread = 0.5;
     absl::Duration connectTimeout = absl::Milliseconds(400); ///< Several round trips between regions.
     absl::Duration retryAfter = absl::Milliseconds(250); ///< Sent with rejections; about one backoff of a replica.
     absl::Duration defaultTimeout = absl::Seconds(30); ///< Used if the client states no deadline.
@@ -41,8 +51,8 @@
         std::function<void(RouteKind kind, std::string_view outcome, int status, absl::Duration duration)> finished;
     };
 
-    RequestRunner(net::Loop &loop, ReplicaTable &replicas, ReplicaPort port, RequestRunnerSettings settings,
-                  Observer observer);
+    RequestRunner(net::Loop &loop, ReplicaTable &replicas, ReplicaPort port, PermitSource permits,
+                  RequestRunnerSettings settings, Observer observer);
 
     void run(InboundRequest request, const Route &route, const std::string &workspace, ResponseSink sink);
 
@@ -58,6 +68,14 @@
     using ActiveRequestPtr = std::shared_ptr<ActiveRequest>;
 
     void startAttempt(const ActiveRequestPtr &active);
+    void sendAttempt(const ActiveRequestPtr &active, Replica &replica);
+    /// Obtains a permit for a replica with a request limit; then sends the request there, or tries the next replica.
+    void awaitPermit(const ActiveRequestPtr &active, const Replica &replica);
+    void onPermitReply(const ActiveRequestPtr &active, const ReplicaIncarnation &incarnation, const PermitReply &reply);
+    void onPermitUsable(const ActiveRequestPtr &active, const ReplicaIncarnation &incarnation);
+    /// The replica, if this incarnation of it is still known.
+    Replica *findIncarnation(const ReplicaIncarnation &incarnation) const;
+    void refuseWithoutReplica(const ActiveRequestPtr &active);
     void onHead(const ActiveRequestPtr &active, std::size_t index, const ReplicaHead &head,
                 const net::HttpResponse &response);
     void onDone(const ActiveRequestPtr &active, std::size_t index, const ReplicaHead &head,
@@ -73,7 +91,9 @@
     net::Loop &loop_;
     ReplicaTable &replicas_;
     ReplicaPort port_;
+    PermitSource permits_;
     RequestRunnerSettings settings_;
+    std::mt19937_64 random_{std::random_device{}()};
     Observer observer_;
 };
 
--- a/tests/node/requestlimittest.cpp
+++ b/tests/node/requestlimittest.cpp
@@ -46,6 +46,8 @@
                     && member->node->metrics().find(allReady) != std::string::npos;
             });
         }));
+        // The nodes have agreed on who issues permits.
+        runFor(loop, std::chrono::milliseconds(1100));
     }
 
     void send(std::size_t node)
--- a/tests/serving/requestrunnertest.cpp
+++ b/tests/serving/requestrunnertest.cpp
@@ -20,7 +20,7 @@
 public:
     explicit RequestRunnerFixture(int replicas, RouteKind kind = RouteKind::Safe)
         : table({})
-        , runner(loop, table, port(), {},
+        , runner(loop, table, port(), {}, {},
                  {[this](const std::string &workspace) { ++started[workspace]; },
                   [](RouteKind, std::string_view, int, absl::Duration) {}})
     {
