Log lost connections with the digest of their request, and check whether the replica has ended

After a connection that is lost while a response is due the replica is checked: a refused connection, or another instance at the address, is its end. Lines 'request connection_lost', 'replica checked', 'request replica_crashed', 'request suspect_cleared'. CrashSuspects keeps the books, bounded in entries and time; nothing is refused yet.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -122,11 +122,12 @@
           [this](const serving::ReplicaIncarnation &replica) { onReplicaLeaving(replica, StatementSource::Answer); }))
     , incarnation_(randomHex(6))
     , replicas_(tableSettings(settings_))
+    , crashSuspects_(serving::CrashSuspectsSettings{})
     , permitLedger_(serving::PermitLedgerSettings{})
     , counts_(settings_.usageWindow)
     , mesh_(loop, client, {}, [this] { return info(); })
     , relayedStore_(binding_.store, mesh_, [this] { return storeReached(); })
-    , requests_(loop, replicas_, binding_.replicas,
+    , requests_(loop, replicas_, crashSuspects_, binding_.replicas,
                 [this](const serving::PermitRequest &request, std::function<void(const serving::PermitReply &)> done) {
                     requestPermits(request, std::move(done));
                 },
@@ -536,6 +537,7 @@
     }
     requestWantedPermits();
     permitLedger_.expire(now);
+    crashSuspects_.expire(now);
     jobs_->tick();
 }
 
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -15,6 +15,7 @@
 #include "node/replicajournal.h"
 #include "node/watchplan.h"
 #include "objects/objectmirror.h"
+#include "serving/crashsuspects.h"
 #include "serving/observedport.h"
 #include "serving/permitledger.h"
 #include "serving/requestrunner.h"
@@ -195,6 +196,7 @@
     PlatformBinding binding_;
     std::string incarnation_;
     serving::ReplicaTable replicas_;
+    serving::CrashSuspects crashSuspects_;
     serving::PermitLedger permitLedger_; ///< Of the replicas whose permits this node issues.
     control::RequestCounts counts_;
     PeerMesh mesh_;
--- a/src/serving/replicaport.h
+++ b/src/serving/replicaport.h
@@ -2,6 +2,7 @@
 #ifndef CURRANTLUG_SERVING_REPLICAPORT_H
 #define CURRANTLUG_SERVING_REPLICAPORT_H
 
+#include "core/enumnames.h"
 #include "net/httpclient.h"
 #include "net/httpmessage.h"
 #include "serving/replica.h"
@@ -66,6 +67,13 @@
     std::function<void(const ReplicaHead &, absl::Status)> onDone;
 };
 
+/// What a check of a replica has shown.
+enum class ReplicaLiveness {
+    Alive,
+    Ended, ///< Nothing listens at its address, or another replica.
+    Unknown,
+};
+
 struct ReplicaPort
 {
     /// Sends a request whose response is a stream of events.
@@ -74,6 +82,8 @@
     std::function<net::CallId(const Replica &, const OutboundRequest &, const net::ClientLimits &, ReplicaHandlers)>
         send;
     std::function<void(net::CallId)> cancel;
+    /// Checks whether a replica lives, without running a request. May be empty.
+    std::function<void(const Replica &, std::function<void(ReplicaLiveness)>)> check = {};
 };
 
 /// A decoded client request.
@@ -108,4 +118,15 @@
 
 } // namespace currantlug::serving
 
+template<>
+struct currantlug::EnumNames<currantlug::serving::ReplicaLiveness>
+{
+    using ReplicaLiveness = currantlug::serving::ReplicaLiveness;
+    static constexpr std::array<std::pair<ReplicaLiveness, std::string_view>, 3> Table{{
+        {ReplicaLiveness::Alive, "alive"},
+        {ReplicaLiveness::Ended, "ended"},
+        {ReplicaLiveness::Unknown, "unknown"},
+    }};
+};
+
 #endif
--- a/src/serving/requestrunner.cpp
+++ b/src/serving/requestrunner.cpp
@@ -29,6 +29,7 @@
     std::string routeName;
     std::string service;
     std::string workspace;
+    std::string digest; ///< Computed when it is needed first.
     Instant deadline; ///< When the final response is due.
     absl::Duration hedgeDelay;
     absl::Duration maxPermitWait;
@@ -52,10 +53,11 @@
     }
 };
 
-RequestRunner::RequestRunner(net::Loop &loop, ReplicaTable &replicas, ReplicaPort port, PermitSource permits,
-                             RequestRunnerSettings settings, Observer observer)
+RequestRunner::RequestRunner(net::Loop &loop, ReplicaTable &replicas, CrashSuspects &suspects, ReplicaPort port,
+                             PermitSource permits, RequestRunnerSettings settings, Observer observer)
     : loop_(loop)
     , replicas_(replicas)
+    , suspects_(suspects)
     , port_(std::move(port))
     , permits_(std::move(permits))
     , settings_(settings)
@@ -299,6 +301,11 @@
                         {"message", std::string(response.status().message())}});
         if (replica != nullptr) {
             replicas_.recordFailure(*replica, now);
+            const bool lost = context.step == Step::ReadAnswer && context.outcome == Outcome::MayHaveRun
+                && response.status().code() != absl::StatusCode::kDeadlineExceeded;
+            if (lost && replica->acceptsRequests()) {
+                onConnectionLost(active, *replica);
+            }
         }
         onAttemptFailed(active, context.outcome == Outcome::NotRun, false);
         return;
@@ -314,6 +321,10 @@
     if (replica != nullptr && !isServerError(response->status)) {
         replicas_.recordSuccess(*replica);
     }
+    if (!isServerError(response->status) && !suspects_.empty() && suspects_.recordAnswer(digestOf(*active), now)) {
+        telemetry::log(Level::Info, "request", "suspect_cleared",
+                       {telemetry::requestId(active->request.id), {"digest", active->digest}});
+    }
     if (active->streaming) {
         active->sink.finish();
         finish(active, "served", response->status);
@@ -330,6 +341,64 @@
     sendResponse(active, *response);
 }
 
+const std::string &RequestRunner::digestOf(ActiveRequest &active)
+{
+    if (active.digest.empty()) {
+        active.digest = requestDigest(active.request, active.workspace);
+    }
+    return active.digest;
+}
+
+void RequestRunner::onConnectionLost(const ActiveRequestPtr &active, const Replica &replica)
+{
+    suspects_.recordLoss(digestOf(*active), incarnationOf(replica.entry), net::loopNow());
+    telemetry::log(Level::Info, "request", "connection_lost",
+                   {telemetry::requestId(active->request.id),
+                    {"digest", active->digest},
+                    {"replica", replica.entry.id},
+                    {"losses", suspects_.losses(active->digest)},
+                    {"crashes", suspects_.crashes(active->digest)}});
+    if (port_.check && checking_.insert(replica.entry.id).second) {
+        checkReplica(replica, settings_.checkTries);
+    }
+}
+
+void RequestRunner::checkReplica(const Replica &replica, int triesLeft)
+{
+    port_.check(replica, [this, replica, triesLeft](ReplicaLiveness liveness) {
+        if (liveness == ReplicaLiveness::Unknown && triesLeft > 1) {
+            net::runAfter(loop_, settings_.checkRetryDelay,
+                          [this, replica, triesLeft] { checkReplica(replica, triesLeft - 1); });
+            return;
+        }
+        onReplicaChecked(replica, liveness);
+    });
+}
+
+void RequestRunner::onReplicaChecked(const Replica &replica, ReplicaLiveness liveness)
+{
+    checking_.erase(replica.entry.id);
+    telemetry::log(Level::Info, "replica", "checked", {{"replica", replica.entry.id}, {"outcome", nameOf(liveness)}});
+    const ReplicaIncarnation incarnation = incarnationOf(replica.entry);
+    if (liveness == ReplicaLiveness::Alive) {
+        suspects_.recordAlive(incarnation);
+        return;
+    }
+    if (liveness != ReplicaLiveness::Ended) {
+        return;
+    }
+    for (const SuspectStatement &statement : suspects_.recordEnded(incarnation, net::loopNow())) {
+        telemetry::log(Level::Warning, "request", "replica_crashed",
+                       {{"digest", statement.digest},
+                        {"replica", replica.entry.id},
+                        {"crashes", suspects_.crashes(statement.digest)},
+                        {"refused", suspects_.refuses(statement.digest)}});
+        if (observer_.crashed) {
+            observer_.crashed(statement);
+        }
+    }
+}
+
 void RequestRunner::onAttemptFailed(const ActiveRequestPtr &active, bool notRun, bool full)
 {
     active->mayHaveRun = active->mayHaveRun || !notRun;
--- a/src/serving/requestrunner.h
+++ b/src/serving/requestrunner.h
@@ -11,6 +11,7 @@
 #define CURRANTLUG_SERVING_REQUESTRUNNER_H
 
 #include "net/eventloop.h"
+#include "serving/crashsuspects.h"
 #include "serving/gatewayconfig.h"
 #include "serving/permitissuer.h"
 #include "serving/replicaport.h"
@@ -35,6 +36,8 @@
     absl::Duration connectTimeout = absl::Milliseconds(400); ///< Several round trips between regions.
     absl::Duration retryAfter = absl::Milliseconds(250); ///< Sent with rejections; about one backoff of a replica.
     absl::Duration defaultTimeout = absl::Seconds(30); ///< Used if the client states no deadline.
+    int checkTries = 3; ///< Checks of a replica that lost a connection, while their outcome isn't known.
+    absl::Duration checkRetryDelay = absl::Milliseconds(100);
     /// The final response is sent this long before the deadline, so that it arrives in time.
     absl::Duration responseMargin = absl::Milliseconds(20);
 };
@@ -49,10 +52,12 @@
         /// Called when the final response was sent or the request was aborted (status 0), for example because the
         /// client disconnected. `outcome` is a fixed text.
         std::function<void(RouteKind kind, std::string_view outcome, int status, absl::Duration duration)> finished;
+        /// Called when a replica is found to have ended under a request.
+        std::function<void(const SuspectStatement &)> crashed = {};
     };
 
-    RequestRunner(net::Loop &loop, ReplicaTable &replicas, ReplicaPort port, PermitSource permits,
-                  RequestRunnerSettings settings, Observer observer);
+    RequestRunner(net::Loop &loop, ReplicaTable &replicas, CrashSuspects &suspects, ReplicaPort port,
+                  PermitSource permits, RequestRunnerSettings settings, Observer observer);
 
     void run(InboundRequest request, const Route &route, const std::string &workspace, ResponseSink sink);
 
@@ -76,6 +81,12 @@
     /// The replica, if this incarnation of it is still known.
     Replica *findIncarnation(const ReplicaIncarnation &incarnation) const;
     void refuseWithoutReplica(const ActiveRequestPtr &active);
+    static const std::string &digestOf(ActiveRequest &active);
+    /// Handles a connection to a replica that ended before the response was complete.
+    void onConnectionLost(const ActiveRequestPtr &active, const Replica &replica);
+    /// Finds out whether a replica that lost a connection has ended.
+    void checkReplica(const Replica &replica, int triesLeft);
+    void onReplicaChecked(const Replica &replica, ReplicaLiveness liveness);
     void onHead(const ActiveRequestPtr &active, std::size_t index, const ReplicaHead &head,
                 const net::HttpResponse &response);
     void onDone(const ActiveRequestPtr &active, std::size_t index, const ReplicaHead &head,
@@ -90,6 +101,8 @@
 
     net::Loop &loop_;
     ReplicaTable &replicas_;
+    CrashSuspects &suspects_;
+    std::set<std::string> checking_; ///< Ids of replicas that are being checked.
     ReplicaPort port_;
     PermitSource permits_;
     RequestRunnerSettings settings_;
--- a/tests/serving/requestrunnertest.cpp
+++ b/tests/serving/requestrunnertest.cpp
@@ -20,7 +20,7 @@
 public:
     explicit RequestRunnerFixture(int replicas, RouteKind kind = RouteKind::Safe)
         : table({})
-        , runner(loop, table, port(), {}, {},
+        , runner(loop, table, suspects, port(), {}, {},
                  {[this](const std::string &workspace) { ++started[workspace]; },
                   [](RouteKind, std::string_view, int, absl::Duration) {}})
     {
@@ -60,6 +60,7 @@
 
     net::Loop loop;
     ReplicaTable table;
+    CrashSuspects suspects{CrashSuspectsSettings{}};
     RequestRunner runner;
     Route route;
     std::map<std::string, Behaviour> behaviourOf;
