Refuse a request that crashes the replicas that run it, at all nodes, after three

Cause: nodes know requests by their ids, which are new each time, and take a lost connection for a fault of the replica alone. Evidence: one digest on two nodes within 0.1 s; 27 ends in the test of four nodes. Ruled out: resets and cuts (22 of 23 lost connections were ends of replicas). Change: CrashSuspects decides by digest. Refused (503, not run, Retry-After 60 s) after three replicas that were found to have ended, if at two of them no other request that ran there had seen as many ends. No hedge for suspects, no repeat after the second lost connection. Crashes are told to all peers at once, suspects with each probe. A response clears a request at all nodes.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -29,6 +29,7 @@
 // silent.
 constexpr absl::Duration StartupScanDelays[] = {absl::Milliseconds(400), absl::Milliseconds(1000),
                                                 absl::Milliseconds(2600), absl::Milliseconds(5000)};
+constexpr absl::Duration CrashTimeout = absl::Milliseconds(400); // Probes tell it again a second later.
 constexpr absl::Duration DefaultAddressTtl = absl::Seconds(1);
 constexpr const char *HandOverMethod = "usage/handover";
 constexpr absl::Duration HandOverTimeout = absl::Milliseconds(300); // A round trip between regions takes 24 ms.
@@ -135,7 +136,8 @@
                 {[this](const std::string &workspace) { counts_.add(workspace, absl::Now()); },
                  [this](serving::RouteKind kind, std::string_view outcome, int status, absl::Duration elapsed) {
                      metrics_.recordRequest(kind, outcome, status, elapsed);
-                 }})
+                 },
+                 [this](const serving::SuspectStatement &statement) { tellCrash(statement); }})
     , configMirror_(loop, binding_.store, binding_.configKind, boundedMirrorSettings(settings_),
                     [this](const ObjectChange &change) { onConfigObject(change); })
     , replicaMirror_(loop, binding_.store, binding_.replicaKind, replicaMirrorSettings(settings_),
@@ -312,6 +314,7 @@
     info.holdsTexts = jobs_ != nullptr && jobs_->holdsTexts();
     info.leavingReplicas = replicas_.leavingReplicas();
     info.replicaLimits = replicas_.limitStatements(net::loopNow());
+    info.crashSuspects = crashSuspects_.statements();
     return info;
 }
 
@@ -474,6 +477,14 @@
                                       configRevision()));
         return true;
     }
+    if (method == CrashMethod) {
+        const auto statement = parseSuspectStatement(body);
+        if (statement) {
+            crashSuspects_.merge(*statement);
+        }
+        reply({{"merged", statement.has_value()}});
+        return true;
+    }
     if (method == PermitsMethod) {
         reply(answerPermits(body));
         return true;
@@ -488,6 +499,19 @@
     return jobs_->handlePeerCall(method, body, std::move(reply));
 }
 
+void Node::tellCrash(const serving::SuspectStatement &statement)
+{
+    const Json body = toJson(statement);
+    for (const std::string &peer : mesh_.live()) {
+        mesh_.call(peer, CrashMethod, body, CrashTimeout, [peer](const absl::StatusOr<Json> &answer) {
+            if (!answer.ok()) {
+                telemetry::log(Level::Info, "request", "crash_not_told",
+                               {{"node", peer}, {"message", std::string(answer.status().message())}});
+            }
+        });
+    }
+}
+
 Json Node::snapshot(std::uint64_t configRevision) const
 {
     Json reply = Json::object();
@@ -601,6 +625,9 @@
         for (const serving::LimitStatement &statement : peer.replicaLimits) {
             onReplicaLimit(statement, StatementSource::Peer);
         }
+        for (const serving::SuspectStatement &statement : peer.crashSuspects) {
+            crashSuspects_.merge(statement);
+        }
     }
     replicaJournal_.expire(net::loopNow());
     unregisterLostNodes();
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -121,6 +121,7 @@
 private:
     static constexpr const char *NodeKind = "nodes"; ///< Object kind of the registrations of nodes.
     static constexpr const char *PermitsMethod = "replica/permits";
+    static constexpr const char *CrashMethod = "replica/crash";
 
     NodeInfo info() const;
     /// Answers that the request was not executed and can be retried soon.
@@ -145,6 +146,8 @@
     std::string permitIssuer(const std::string &replica, const std::string &availabilityZone) const;
     serving::PermitReply issuePermits(const serving::PermitRequest &request);
     Json answerPermits(const Json &body);
+    /// Tells all peers at once that a replica ended under a request. It may arrive at any of them next.
+    void tellCrash(const serving::SuspectStatement &statement);
     void onReplicaDelta(const ReplicaDelta &delta);
     /// Removes the replicas that aren't registered according to a complete list as of `revision` of the store; 0 if the
     /// revision isn't known.
--- a/src/node/nodestate.cpp
+++ b/src/node/nodestate.cpp
@@ -284,6 +284,7 @@
     info.ready = info.storeReached = info.leading = info.holdsTexts = false;
     info.leavingReplicas.clear();
     info.replicaLimits.clear();
+    info.crashSuspects.clear();
     info.configRevision = 0;
     return node::toJson(info);
 }
--- a/src/node/peermesh.cpp
+++ b/src/node/peermesh.cpp
@@ -21,6 +21,41 @@
 
 } // namespace
 
+Json toJson(const serving::SuspectStatement &statement)
+{
+    const Instant now = net::loopNow();
+    Json crashes = Json::array();
+    for (const serving::ReplicaCrash &crash : statement.crashes) {
+        crashes.push_back({crash.replica, absl::ToInt64Milliseconds(now - crash.at)});
+    }
+    Json json{{"digest", statement.digest}, {"crashes", std::move(crashes)}};
+    if (statement.clearedAt) {
+        json["cleared_ms_ago"] = absl::ToInt64Milliseconds(now - *statement.clearedAt);
+    }
+    return json;
+}
+
+std::optional<serving::SuspectStatement> parseSuspectStatement(const Json &value)
+{
+    const Instant now = net::loopNow();
+    serving::SuspectStatement statement;
+    statement.digest = fieldOr<std::string>(value, "digest", "");
+    if (statement.digest.empty()) {
+        return std::nullopt;
+    }
+    for (const Json &crash : fieldOrNull(value, "crashes")) {
+        if (crash.is_array() && crash.size() == 2 && crash[0].is_string() && crash[1].is_number_integer()) {
+            statement.crashes.push_back(
+                {crash[0].get<std::string>(), now - absl::Milliseconds(crash[1].get<std::int64_t>())});
+        }
+    }
+    const auto cleared = fieldOr<std::int64_t>(value, "cleared_ms_ago", -1);
+    if (cleared >= 0) {
+        statement.clearedAt = now - absl::Milliseconds(cleared);
+    }
+    return statement;
+}
+
 Json toJson(const NodeInfo &info)
 {
     Json json{{"name", info.name},
@@ -45,6 +80,9 @@
                                   statement.requestLimit ? Json(*statement.requestLimit) : Json(),
                                   absl::ToInt64Milliseconds(now - statement.statedAt)});
     }
+    for (const serving::SuspectStatement &statement : info.crashSuspects) {
+        json["suspects"].push_back(toJson(statement));
+    }
     return json;
 }
 
@@ -74,6 +112,11 @@
                 {replica[0].get<std::string>(), replica[1].get<std::string>(), replica[2].get<std::int64_t>()});
         }
     }
+    for (const Json &suspect : fieldOrNull(value, "suspects")) {
+        if (auto statement = parseSuspectStatement(suspect)) {
+            info.crashSuspects.push_back(*std::move(statement));
+        }
+    }
     const Instant now = net::loopNow();
     for (const Json &limit : fieldOrNull(value, "limits")) {
         if (limit.is_array() && limit.size() == 5 && limit[0].is_string() && limit[1].is_string()
--- a/src/node/peermesh.h
+++ b/src/node/peermesh.h
@@ -12,6 +12,7 @@
 #include "jobs/jobcontext.h"
 #include "net/httpclient.h"
 #include "net/httpserver.h"
+#include "serving/crashsuspects.h"
 #include "serving/replicatable.h"
 
 #include <absl/status/statusor.h>
@@ -42,8 +43,12 @@
     std::vector<serving::ReplicaIncarnation> leavingReplicas; ///< Known to leave by their own word.
     /// What replicas have said about their request limits. The times are those of this process.
     std::vector<serving::LimitStatement> replicaLimits;
+    /// Requests under which replicas ended. The times are those of this process.
+    std::vector<serving::SuspectStatement> crashSuspects;
 };
 
+Json toJson(const serving::SuspectStatement &statement);
+std::optional<serving::SuspectStatement> parseSuspectStatement(const Json &value);
 Json toJson(const NodeInfo &info);
 std::optional<NodeInfo> parseNodeInfo(const Json &value);
 
--- a/src/serving/crashsuspects.cpp
+++ b/src/serving/crashsuspects.cpp
@@ -6,6 +6,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace currantlug::serving {
 
@@ -57,8 +58,10 @@
                              [](const auto &one, const auto &other) { return one.second.at < other.second.at; }));
     }
     if (suspects_.size() > settings_.maxSuspects) {
+        // A request that is refused has no new crashes and must still be known when it comes again.
         suspects_.erase(std::min_element(suspects_.begin(), suspects_.end(), [](const auto &one, const auto &other) {
-            return one.second.lastLossAt < other.second.lastLossAt;
+            return std::pair(crashesOf(one.second), one.second.lastLossAt)
+                < std::pair(crashesOf(other.second), other.second.lastLossAt);
         }));
     }
 }
@@ -148,7 +151,7 @@
 
 std::vector<SuspectStatement> CrashSuspects::statements() const
 {
-    std::vector<std::pair<Instant, SuspectStatement>> recent;
+    std::vector<std::pair<std::pair<bool, Instant>, SuspectStatement>> ranked;
     for (const auto &[digest, suspect] : suspects_) {
         SuspectStatement statement{digest, {}, suspect.clearedHere ? suspect.clearedAt : std::nullopt};
         for (const auto &[replica, loss] : suspect.losses) {
@@ -157,13 +160,15 @@
             }
         }
         if (!statement.crashes.empty() || statement.clearedAt) {
-            recent.emplace_back(suspect.lastLossAt, std::move(statement));
+            const bool enoughCrashes = crashesOf(suspect) >= settings_.maxCrashes;
+            ranked.emplace_back(std::pair(enoughCrashes, suspect.lastLossAt), std::move(statement));
         }
     }
-    std::sort(recent.begin(), recent.end(), [](const auto &one, const auto &other) { return one.first > other.first; });
-    recent.resize(std::min(recent.size(), settings_.maxStatements));
+    std::sort(ranked.begin(), ranked.end(), [](const auto &one, const auto &other) { return one.first > other.first; });
+    ranked.resize(std::min(ranked.size(), settings_.maxStatements));
     std::vector<SuspectStatement> statements;
-    for (auto &[at, statement] : recent) {
+    statements.reserve(ranked.size());
+    for (auto &[rank, statement] : ranked) {
         statements.push_back(std::move(statement));
     }
     return statements;
@@ -196,8 +201,9 @@
         });
     }
     std::erase_if(suspects_, [&](const auto &entry) {
-        return (entry.second.losses.empty() && !entry.second.clearedAt)
-            || now - entry.second.lastLossAt > settings_.memory;
+        const Suspect &suspect = entry.second;
+        return suspect.losses.empty() ? !suspect.clearedAt || now - *suspect.clearedAt > settings_.clearedMemory
+                                      : now - suspect.lastLossAt > settings_.memory;
     });
 }
 
--- a/src/serving/crashsuspects.h
+++ b/src/serving/crashsuspects.h
@@ -22,9 +22,12 @@
     int minSoleCrashes = 2;
     /// A request that lost this many connections isn't sent once more for the same client attempt.
     int maxLossesPerAttempt = 2;
-    std::size_t maxSuspects = 512; ///< The one whose last crash is the longest ago is forgotten first.
-    std::size_t maxStatements = 32; ///< The most recent suspects are told to other nodes.
+    /// Beyond this number those with the fewest crashes are forgotten first, and of these the oldest one.
+    std::size_t maxSuspects = 512;
+    /// So many suspects are told to other nodes: those that are refused, then the most recent ones.
+    std::size_t maxStatements = 32;
     absl::Duration memory = absl::Minutes(10); ///< A suspect is forgotten this long after its last crash.
+    absl::Duration clearedMemory = absl::Seconds(10); ///< Until all nodes have heard that a request was cleared.
     absl::Duration unconfirmedMemory = absl::Seconds(10); ///< For a lost connection whose cause stays unknown.
 };
 
--- a/src/serving/requestrunner.cpp
+++ b/src/serving/requestrunner.cpp
@@ -87,6 +87,9 @@
             finish(locked, "client_gone", 0);
         }
     });
+    if (refuseCrashing(active)) {
+        return;
+    }
     active->timer.expires_after(
         absl::ToChronoNanoseconds(std::max(absl::ZeroDuration(), active->deadline - net::loopNow())));
     active->timer.async_wait([this, active](boost::system::error_code error) {
@@ -97,6 +100,25 @@
     startAttempt(active);
 }
 
+bool RequestRunner::refuseCrashing(const ActiveRequestPtr &active)
+{
+    if (suspects_.empty() || !suspects_.refuses(digestOf(*active))) {
+        return false;
+    }
+    telemetry::log(Level::Warning, "request", "crashing",
+                   {telemetry::requestId(active->request.id),
+                    {"digest", active->digest},
+                    {"crashes", suspects_.crashes(active->digest)}});
+    rejectRequest(active->sink, 503, "replicas end when they run this request", settings_.crashRetryAfter);
+    finish(active, "crashing", 503);
+    return true;
+}
+
+bool RequestRunner::isSuspect(ActiveRequest &active) const
+{
+    return !suspects_.empty() && !suspects_.mayRepeat(digestOf(active));
+}
+
 bool RequestRunner::canRetry(const ActiveRequest &active) const
 {
     return static_cast<int>(active.attempts.size()) < active.maxAttempts && net::loopNow() < active.deadline;
@@ -243,7 +265,7 @@
     net::runAfter(loop_, active->hedgeDelay, [this, weak = std::weak_ptr<ActiveRequest>(active)] {
         const ActiveRequestPtr locked = weak.lock();
         if (locked == nullptr || locked->finished || locked->attempts.size() != 1 || locked->waitingForPermit
-            || !canRetry(*locked)) {
+            || !canRetry(*locked) || (!suspects_.empty() && suspects_.losses(digestOf(*locked)) > 0)) {
             return;
         }
         telemetry::log(Level::Info, "request", "hedge",
@@ -409,7 +431,7 @@
     }
     const bool othersPending = active->anyPending();
     const bool repeat = !active->mayHaveRun || active->repeatable;
-    if (repeat && canRetry(*active)) {
+    if (repeat && canRetry(*active) && !isSuspect(*active)) {
         startAttempt(active);
         return;
     }
--- a/src/serving/requestrunner.h
+++ b/src/serving/requestrunner.h
@@ -4,6 +4,9 @@
 // slow, full or draining. A request of a safe route without a response after the hedge delay is also sent to a second
 // replica. A request that is not idempotent is retried only if it is known that the previous replica did not run it.
 //
+// A request under which replicas ended isn't hedged and is repeated less, and is refused once it is known to be the
+// cause.
+//
 // A request to a replica that limits its request rate waits for a permit, unless it would then be late: it is refused
 // at once, with the time when a permit is expected. Replicas without a limit are used first, and get all hedged
 // requests.
@@ -36,6 +39,8 @@
     absl::Duration connectTimeout = absl::Milliseconds(400); ///< Several round trips between regions.
     absl::Duration retryAfter = absl::Milliseconds(250); ///< Sent with rejections; about one backoff of a replica.
     absl::Duration defaultTimeout = absl::Seconds(30); ///< Used if the client states no deadline.
+    /// Sent with the refusal of a request that crashes replicas. It is refused for minutes.
+    absl::Duration crashRetryAfter = absl::Seconds(60);
     int checkTries = 3; ///< Checks of a replica that lost a connection, while their outcome isn't known.
     absl::Duration checkRetryDelay = absl::Milliseconds(100);
     /// The final response is sent this long before the deadline, so that it arrives in time.
@@ -81,6 +86,10 @@
     /// The replica, if this incarnation of it is still known.
     Replica *findIncarnation(const ReplicaIncarnation &incarnation) const;
     void refuseWithoutReplica(const ActiveRequestPtr &active);
+    /// Refuses a request that is known to crash replicas. Returns false for any other one.
+    bool refuseCrashing(const ActiveRequestPtr &active);
+    /// True if too many replicas ended under the request to send it once more for this client attempt.
+    bool isSuspect(ActiveRequest &active) const;
     static const std::string &digestOf(ActiveRequest &active);
     /// Handles a connection to a replica that ended before the response was complete.
     void onConnectionLost(const ActiveRequestPtr &active, const Replica &replica);
