Ask for no permit that comes after the time left, and refuse permit requests without a limit

Found by reading the diff: a retry near its deadline asked with the wait of the first attempt, so that the permit was lost to others; a request of a peer without a limit was read as a limit of 0.

--- a/src/node/nodepermits.cpp
+++ b/src/node/nodepermits.cpp
@@ -33,7 +33,7 @@
 {
     const Json replica = fieldOrNull(body, "replica");
     if (!replica.is_array() || replica.size() != 3 || !replica[0].is_string() || !replica[1].is_string()
-        || !replica[2].is_number_integer()) {
+        || !replica[2].is_number_integer() || !fieldOrNull(body, "limit").is_number()) {
         return std::nullopt;
     }
     serving::PermitRequest request;
--- a/src/serving/requestrunner.cpp
+++ b/src/serving/requestrunner.cpp
@@ -129,7 +129,7 @@
     const Instant now = net::loopNow();
     ReplicaTable::LimitedReplicas limited;
     limited.allowed = !active->anyPending();
-    limited.maxPermitWait = std::min(active->maxPermitWait, (active->deadline - now) * settings_.permitWaitFraction);
+    limited.maxPermitWait = permitWaitNow(*active);
     Replica *replica = replicas_.chooseForRequest(active->service, active->tried, now, limited);
     if (replica == nullptr) {
         if (!active->anyPending()) {
@@ -143,6 +143,11 @@
     }
 }
 
+absl::Duration RequestRunner::permitWaitNow(const ActiveRequest &active) const
+{
+    return std::min(active.maxPermitWait, (active.deadline - net::loopNow()) * settings_.permitWaitFraction);
+}
+
 void RequestRunner::refuseWithoutReplica(const ActiveRequestPtr &active)
 {
     const int status = active->mayHaveRun ? 502 : 503;
@@ -167,7 +172,7 @@
     request.availabilityZone = replica.entry.availabilityZone;
     request.requestsPerSecond = *replica.requestLimit;
     request.limitStatedAt = replica.limitStatedAt;
-    request.maxWait = active->maxPermitWait;
+    request.maxWait = permitWaitNow(*active);
     permits_(request,
              [this, active, incarnation](const PermitReply &reply) { onPermitReply(active, incarnation, reply); });
 }
