--- a/src/serving/crashsuspects.cpp
+++ b/src/serving/crashsuspects.cpp
@@ -37,7 +37,7 @@
     appendField(text, request.host);
     appendField(text, request.method);
     appendField(text, request.target);
-    text += request.body;
+    text += sha256Hex(request.body); // A body may have megabytes, so it isn't copied.
     return sha256Hex(text).substr(0, DigestDigits);
 }
 
