--- a/tests/node/requestlimittest.cpp
+++ b/tests/node/requestlimittest.cpp
@@ -96,9 +96,8 @@
             CHECK(used >= 0.9 * Limit * absl::ToDoubleSeconds(Window));
         }
         // Every request is served or refused, and told when to return. The last ones may still wait for a permit.
-        CHECK(runUntil(limited.fleet.loop, [&limited] {
-            return limited.fleet.answers[200] + limited.fleet.answers[503] == limited.sent;
-        }));
+        CHECK(runUntil(limited.fleet.loop,
+                       [&limited] { return limited.fleet.answers[200] + limited.fleet.answers[503] == limited.sent; }));
         CHECK(limited.fleet.refusalsWithoutRetryAfter == 0);
     }
 }
