--- a/tests/serving/permittest.cpp
+++ b/tests/serving/permittest.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
 #include <queue>
 #include <random>
 #include <set>
@@ -314,6 +315,7 @@
     {
         PermitLedger ledger{PermitLedgerSettings{}};
         std::set<std::string> peersKnown; ///< Live nodes as this one sees them.
+        std::optional<std::size_t> issuer; ///< By peersKnown; worked out when it is needed first.
         Instant goneUntil;
         Instant frozenUntil;
         Instant excusedUntil;
@@ -347,14 +349,18 @@
     }
     absl::Duration delay() { return absl::Milliseconds(std::uniform_real_distribution<double>(0.3, 14)(random_)); }
 
-    std::size_t issuerFor(const Node &node) const
+    static std::size_t issuerFor(Node &node)
     {
+        if (node.issuer) {
+            return *node.issuer;
+        }
         std::vector<PermitIssuer> candidates;
         for (const std::string &name : node.peersKnown) {
             candidates.push_back({name, "zone"});
         }
         const std::string issuer = choosePermitIssuer("r", "zone", candidates);
-        return std::stoul(issuer.substr(5));
+        node.issuer = std::stoul(issuer.substr(5));
+        return *node.issuer;
     }
     PermitReply issue(std::size_t index)
     {
@@ -404,6 +410,7 @@
                 const bool changed = alive ? node.peersKnown.insert(nameOf(index)).second
                                            : i != index && node.peersKnown.erase(nameOf(index)) > 0;
                 if (changed) {
+                    node.issuer.reset();
                     node.ledger.recordMembershipChange(now_);
                 }
             });
