--- a/src/node/nodepermits.cpp
+++ b/src/node/nodepermits.cpp
@@ -89,8 +89,8 @@
 {
     serving::PermitRequest current = request;
     onReplicaLimit({request.replica, request.requestsPerSecond, request.limitStatedAt}, StatementSource::Peer);
-    const serving::Replica *replica = replicas_.find(request.replica.id);
-    if (replica != nullptr && replica->requestLimit && serving::incarnationOf(replica->entry) == request.replica) {
+    const serving::Replica *replica = replicas_.find(request.replica);
+    if (replica != nullptr && replica->requestLimit) {
         current.requestsPerSecond = *replica->requestLimit;
     }
     permitLedger_.recordMembershipChange(mesh_.membershipChangedAt());
@@ -135,17 +135,11 @@
 void Node::requestWantedPermits()
 {
     for (const serving::Replica *replica : replicas_.takePermitsWanted(net::loopNow())) {
-        serving::PermitRequest request;
-        request.replica = serving::incarnationOf(replica->entry);
-        request.availabilityZone = replica->entry.availabilityZone;
-        request.requestsPerSecond = *replica->requestLimit;
-        request.limitStatedAt = replica->limitStatedAt;
-        request.count = std::max(
-            1, static_cast<int>(std::ceil(request.requestsPerSecond * absl::ToDoubleSeconds(PermitBatchTime))));
-        request.maxWait = PermitBatchTime;
+        const int count =
+            std::max(1, static_cast<int>(std::ceil(*replica->requestLimit * absl::ToDoubleSeconds(PermitBatchTime))));
+        const serving::PermitRequest request = serving::permitRequestFor(*replica, count, PermitBatchTime);
         requestPermits(request, [this, incarnation = request.replica](const serving::PermitReply &reply) {
-            serving::Replica *known = replicas_.find(incarnation.id);
-            if (known != nullptr && serving::incarnationOf(known->entry) == incarnation) {
+            if (serving::Replica *known = replicas_.find(incarnation)) {
                 replicas_.addPermits(*known, reply, net::loopNow());
                 jobs_->dispatchItems();
                 // Items that still wait take what is left of a burst without waiting for the next tick.
--- a/src/serving/permitissuer.cpp
+++ b/src/serving/permitissuer.cpp
@@ -1,4 +1,4 @@
-// Choice of the node that issues the permits of a replica.
+// Requests for permits, and the choice of the node that issues them.
 #include "serving/permitissuer.h"
 
 #include "core/hash.h"
@@ -7,6 +7,18 @@
 
 namespace currantlug::serving {
 
+PermitRequest permitRequestFor(const Replica &replica, int count, absl::Duration maxWait)
+{
+    PermitRequest request;
+    request.replica = incarnationOf(replica.entry);
+    request.availabilityZone = replica.entry.availabilityZone;
+    request.requestsPerSecond = replica.requestLimit.value();
+    request.limitStatedAt = replica.limitStatedAt;
+    request.count = count;
+    request.maxWait = maxWait;
+    return request;
+}
+
 std::string choosePermitIssuer(std::string_view replica, std::string_view availabilityZone,
                                const std::vector<PermitIssuer> &candidates)
 {
--- a/src/serving/permitissuer.h
+++ b/src/serving/permitissuer.h
@@ -23,6 +23,9 @@
     absl::Duration maxWait; ///< Permits that become usable later than this are of no use.
 };
 
+/// `replica`: one that limits its request rate.
+PermitRequest permitRequestFor(const Replica &replica, int count, absl::Duration maxWait);
+
 struct PermitReply
 {
     /// Time from now until each permit issued becomes usable, in increasing order. May be fewer than requested.
--- a/src/serving/replicatable.cpp
+++ b/src/serving/replicatable.cpp
@@ -62,20 +62,17 @@
 
 bool ReplicaTable::recordLeaving(const ReplicaIncarnation &incarnation)
 {
-    const auto found = replicas_.find(incarnation.id);
-    if (found == replicas_.end() || incarnationOf(found->second.entry) != incarnation) {
-        return false;
-    }
-    return !std::exchange(found->second.leaving, true);
+    Replica *replica = find(incarnation);
+    return replica != nullptr && !std::exchange(replica->leaving, true);
 }
 
 bool ReplicaTable::recordLimit(const LimitStatement &statement, bool heardHere)
 {
-    const auto found = replicas_.find(statement.replica.id);
-    if (found == replicas_.end() || incarnationOf(found->second.entry) != statement.replica) {
+    Replica *known = find(statement.replica);
+    if (known == nullptr) {
         return false;
     }
-    Replica &replica = found->second;
+    Replica &replica = *known;
     const bool wasNeverLimited = !replica.requestLimit && !statement.requestLimit;
     if (wasNeverLimited || statement.statedAt <= replica.limitStatedAt) {
         return false;
@@ -130,6 +127,12 @@
     return found == replicas_.end() ? nullptr : &found->second;
 }
 
+Replica *ReplicaTable::find(const ReplicaIncarnation &incarnation)
+{
+    Replica *replica = find(incarnation.id);
+    return replica != nullptr && incarnationOf(replica->entry) == incarnation ? replica : nullptr;
+}
+
 int ReplicaTable::zoneDistance(const Replica &replica) const
 {
     if (replica.entry.availabilityZone == settings_.availabilityZone) {
--- a/src/serving/replicatable.h
+++ b/src/serving/replicatable.h
@@ -77,6 +77,8 @@
     void expire(Instant now);
 
     Replica *find(const std::string &id);
+    /// The replica, if this incarnation of it is known; else null.
+    Replica *find(const ReplicaIncarnation &incarnation);
     const std::map<std::string, Replica> &all() const { return replicas_; }
 
     /// Which replicas with a request limit may be chosen.
--- a/src/serving/requestrunner.cpp
+++ b/src/serving/requestrunner.cpp
@@ -167,27 +167,15 @@
 {
     active->waitingForPermit = true;
     const ReplicaIncarnation incarnation = incarnationOf(replica.entry);
-    PermitRequest request;
-    request.replica = incarnation;
-    request.availabilityZone = replica.entry.availabilityZone;
-    request.requestsPerSecond = *replica.requestLimit;
-    request.limitStatedAt = replica.limitStatedAt;
-    request.maxWait = permitWaitNow(*active);
-    permits_(request,
+    permits_(permitRequestFor(replica, 1, permitWaitNow(*active)),
              [this, active, incarnation](const PermitReply &reply) { onPermitReply(active, incarnation, reply); });
 }
 
-Replica *RequestRunner::findIncarnation(const ReplicaIncarnation &incarnation) const
-{
-    Replica *replica = replicas_.find(incarnation.id);
-    return replica != nullptr && incarnationOf(replica->entry) == incarnation ? replica : nullptr;
-}
-
 void RequestRunner::onPermitReply(const ActiveRequestPtr &active, const ReplicaIncarnation &incarnation,
                                   const PermitReply &reply)
 {
     const Instant now = net::loopNow();
-    if (Replica *replica = findIncarnation(incarnation)) {
+    if (Replica *replica = replicas_.find(incarnation)) {
         replicas_.addPermits(*replica, reply, now);
     }
     if (reply.delays.empty()) {
@@ -212,7 +200,7 @@
         return; // The permit stays for another request.
     }
     const Instant now = net::loopNow();
-    Replica *replica = findIncarnation(incarnation);
+    Replica *replica = replicas_.find(incarnation);
     if (replica != nullptr && replica->acceptsRequests() && ReplicaTable::hasPermit(*replica, now)) {
         ReplicaTable::usePermit(*replica, now);
         sendAttempt(active, *replica);
--- a/src/serving/requestrunner.h
+++ b/src/serving/requestrunner.h
@@ -85,8 +85,6 @@
     void awaitPermit(const ActiveRequestPtr &active, const Replica &replica);
     void onPermitReply(const ActiveRequestPtr &active, const ReplicaIncarnation &incarnation, const PermitReply &reply);
     void onPermitUsable(const ActiveRequestPtr &active, const ReplicaIncarnation &incarnation);
-    /// The replica, if this incarnation of it is still known.
-    Replica *findIncarnation(const ReplicaIncarnation &incarnation) const;
     void refuseWithoutReplica(const ActiveRequestPtr &active);
     /// Refuses a request that is known to crash replicas. Returns false for any other one.
     bool refuseCrashing(const ActiveRequestPtr &active);
