--- /dev/null
+++ b/review/harness/cases.cpp
@@ -0,0 +1,547 @@
+// The cases of the review, one function each. Each returns 1 if the rule was broken, 0 if it held and 2 if the case
+// couldn't run.
+#include "site.h"
+
+#include <algorithm>
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+#include <set>
+
+namespace review {
+
+namespace {
+
+constexpr int Broken = 1;
+constexpr int Held = 0;
+constexpr int NotRun = 2;
+constexpr const char *Host = "trainer.example";
+constexpr const char *Model = "m0";
+
+bool trouble()
+{
+    const char *value = std::getenv("TROUBLE");
+    return value == nullptr || std::string(value) != "0";
+}
+
+Json engineService(const std::string &name)
+{
+    return {{"name", name},     {"health_path", "/health"},
+            {"max_conns", 160}, {"protocol", "h1"},
+            {"tls", false},     {"engine", {{"slots", 12}, {"kv_capacity", 38707}, {"models", {{{"name", Model}}}}}}};
+}
+
+Json rolloutRoute(const std::string &service)
+{
+    return {{"name", "r-rollout"},  {"host", Host},          {"path_prefix", "/rollout/"},
+            {"kind", "rollout"},    {"timeout_ms", 10000},   {"target_latency_ms", 400},
+            {"priority", 1},        {"service", service},    {"max_attempts", 3},
+            {"queue_ttl_s", 40.0},  {"result_due_ms", 7500}, {"single_version", false},
+            {"auth_exempt", false}, {"sticky", true},        {"resumable", true}};
+}
+
+Json configuration()
+{
+    return {{"version", 7},
+            {"routes", {rolloutRoute("engines")}},
+            {"services", {engineService("engines")}},
+            {"limits",
+             {{"max_header_bytes", 16384},
+              {"max_body_bytes", 33554432},
+              {"header_timeout_ms", 3000},
+              {"idle_timeout_ms", 15000}}},
+            {"tenants",
+             {{{"name", "tenant-a"}, {"api_keys", {"key-of-a"}}, {"priority", 1}},
+              {{"name", "tenant-b"}, {"api_keys", {"key-of-b"}}, {"priority", 1}}}}};
+}
+
+Json item(const std::string &id, const std::string &body, const std::string &group)
+{
+    return {{"id", id},
+            {"path", "/rollout/3/" + id},
+            {"headers", {{"X-Model", Model}, {"X-Token-Usage", "271,20"}, {"X-Prompt-Prefix", "9c2e41:255,5d07b8:16"}}},
+            {"body", base64(body)},
+            {"tokens", 291},
+            {"group", group}};
+}
+
+Json job(Json items, int desired)
+{
+    return {{"step", 0}, {"model", Model}, {"min_version", 1}, {"desired", desired}, {"items", std::move(items)}};
+}
+
+/// Returns one of the replicas.
+const Replica &addEngines(Site &site, const std::string &service, int count, const ReplicaOptions &pattern)
+{
+    const Replica *added = nullptr;
+    const char *zones[] = {"north-a", "south-a", "north-b"};
+    for (int i = 0; i < count; ++i) {
+        ReplicaOptions options = pattern;
+        options.id = "i-" + service + "-" + std::to_string(i + 1);
+        options.service = service;
+        options.zone = zones[i % 3];
+        options.models = {Model};
+        added = &site.addReplica(options);
+    }
+    return *added;
+}
+
+/// The name of the node that the record of the job names as its owner.
+std::string ownerOf(Site &site, const std::string &jobId)
+{
+    const auto record = site.store().get("jobs", jobId);
+    return record ? record->value("owner", "") : "";
+}
+
+/// Items of a job carry a header that names another tenant, and one with the client's key.
+int forgedTenant(Site &site)
+{
+    site.store().put("config", "main", configuration());
+    addEngines(site, "engines", 3, {});
+    site.addNode("north-a");
+    site.addNode("south-a");
+    if (!site.start()) {
+        return NotRun;
+    }
+    Client trainer(site, Host, "key-of-a");
+    Json items = Json::array();
+    for (int i = 0; i < 6; ++i) {
+        items.push_back(item("a7c" + std::to_string(i), "prompt " + std::to_string(i), "g" + std::to_string(i / 2)));
+        if (trouble()) {
+            items.back()["headers"]["X-Tenant"] = "tenant-b";
+            items.back()["headers"]["Authorization"] = "Bearer key-of-a";
+        }
+    }
+    if (trainer.submit("/rollout/7c41", "7c41e09b52d6a3f8", job(items, 3)) != 202) {
+        return NotRun;
+    }
+    sleepMs(6000);
+    int wrong = 0;
+    int withKey = 0;
+    const std::vector<Run> runs = site.runs().all();
+    for (const Run &run : runs) {
+        wrong += static_cast<int>(std::any_of(run.tenants.begin(), run.tenants.end(),
+                                              [](const std::string &tenant) { return tenant != "tenant-a"; }));
+        withKey += static_cast<int>(!run.keys.empty());
+    }
+    site.record().line("result runs=" + std::to_string(runs.size()) + " with_foreign_tenant=" + std::to_string(wrong)
+                       + " with_key=" + std::to_string(withKey));
+    if (runs.empty()) {
+        return NotRun;
+    }
+    return wrong > 0 || withKey > 0 ? Broken : Held;
+}
+
+/// Two tenants number the items of their jobs in the same way; the first one ends its job early.
+int foreignText(Site &site)
+{
+    site.store().put("config", "main", configuration());
+    ReplicaOptions pattern;
+    pattern.events = 12;
+    const Replica &engine = addEngines(site, "engines", 3, pattern);
+    site.addNode("north-a");
+    site.addNode("south-a");
+    if (!site.start()) {
+        return NotRun;
+    }
+    const auto bodyOf = [](const std::string &owner, int index) { return owner + " prompt " + std::to_string(index); };
+    const auto itemsOf = [&bodyOf](const std::string &owner) {
+        Json items = Json::array();
+        for (int i = 0; i < 8; ++i) {
+            items.push_back(item("step0-sample" + std::to_string(i), bodyOf(owner, i), "g" + std::to_string(i / 4)));
+        }
+        return items;
+    };
+    Client first(site, Host, "key-of-a");
+    Client second(site, Host, "key-of-b");
+    if (first.submit("/rollout/aa", "aa41e09b52d6a3f8", job(itemsOf("A"), 2)) != 202) {
+        return NotRun;
+    }
+    sleepMs(700);
+    if (trouble() && first.end(*site.nodes()[0], "aa41e09b52d6a3f8") != 200) {
+        return NotRun;
+    }
+    sleepMs(300);
+    if (second.submit("/rollout/bb", "bb41e09b52d6a3f8", job(itemsOf("B"), 2)) != 202) {
+        return NotRun;
+    }
+    int status = 0;
+    Json page = Json::object();
+    for (int i = 0; i < 40 && page.value("next", 0) < 8; ++i) {
+        sleepMs(250);
+        const Json answer = second.read(*site.nodes()[0], "bb41e09b52d6a3f8", 0, status);
+        page = answer.is_object() ? answer : page;
+    }
+    if (page.value("next", 0) == 0) {
+        return NotRun;
+    }
+    int foreign = 0;
+    int wrong = 0;
+    for (const Json &result : page["results"]) {
+        const std::string text = result.value("text", "");
+        const std::string id = result.value("id", "");
+        const std::string whole = engine.wholeText("tenant-b", bodyOf("B", id.back() - '0'));
+        const bool isForeign = text.find("tenant-a/") != std::string::npos;
+        foreign += static_cast<int>(isForeign);
+        wrong += static_cast<int>(result.value("state", "") == "completed" && text != whole);
+        site.record().line("tenant-b reads " + id + " " + result.value("state", "") + " text=" + text.substr(0, 20)
+                           + (isForeign ? ".. with events of tenant-a" : ".."));
+    }
+    site.record().line("result listed=" + std::to_string(page.value("next", 0)) + " not_the_whole_output="
+                       + std::to_string(wrong) + " with_text_of_tenant_a=" + std::to_string(foreign));
+    return wrong > 0 ? Broken : Held;
+}
+
+/// Counts the items of a job that reached a replica after a time.
+int countBegun(Site &site, std::int64_t afterMs, const std::string &pathPrefix)
+{
+    int count = 0;
+    for (const Run &run : site.runs().all()) {
+        count += static_cast<int>(run.atMs > afterMs && run.path.rfind(pathPrefix, 0) == 0);
+    }
+    return count;
+}
+
+/// Trainers end their jobs one after the other while another node takes the jobs over from a killed one.
+int endDuringTakeover(Site &site)
+{
+    constexpr int Jobs = 12;
+    constexpr int ItemsOfJob = 48;
+    // All nodes are in the region without the store: 4 ms an answer, and 12 ms each way.
+    site.store().setAnswerMs(28);
+    site.store().put("config", "main", configuration());
+    ReplicaOptions pattern;
+    pattern.slots = 12;
+    pattern.events = 20;
+    addEngines(site, "engines", 3, pattern);
+    site.addNode("south-a");
+    site.addNode("south-a");
+    site.addNode("south-a");
+    if (!site.start()) {
+        return NotRun;
+    }
+    Client trainer(site, Host, "key-of-a");
+    std::vector<std::string> ids;
+    for (int k = 0; k < Jobs; ++k) {
+        Json items = Json::array();
+        for (int i = 0; i < ItemsOfJob; ++i) {
+            const std::string name = "j" + std::to_string(k) + "i" + std::to_string(i);
+            items.push_back(item(name, std::string(36'000, 'p') + name, "g" + std::to_string(i / 4)));
+        }
+        ids.push_back("7c41e09b52d6a" + std::to_string(300 + k));
+        if (trainer.submit("/rollout/" + ids.back(), ids.back(), job(items, ItemsOfJob / 4)) != 202) {
+            return NotRun;
+        }
+    }
+    const std::string owner = ownerOf(site, ids[0]);
+    Node *asked = nullptr;
+    for (const auto &node : site.nodes()) {
+        asked = node->name() == owner ? asked : node.get();
+    }
+    int status = 0;
+    for (const std::string &id : ids) {
+        trainer.read(*asked, id, 0, status);
+    }
+    if (trouble()) {
+        site.node(owner).kill();
+    }
+    std::vector<std::int64_t> endedAt(Jobs);
+    std::vector<std::thread> ends;
+    ends.reserve(Jobs);
+    for (std::size_t k = 0; k < Jobs; ++k) {
+        ends.emplace_back([&, k] {
+            sleepMs(100 + static_cast<std::int64_t>(k) * 80);
+            for (int i = 0; i < 5 && endedAt[k] == 0; ++i) {
+                endedAt[k] = trainer.end(*asked, ids[k]) == 200 ? nowMs() : 0;
+            }
+        });
+    }
+    if (trouble()) {
+        sleepMs(500);
+        site.node(owner).start();
+    }
+    for (std::thread &end : ends) {
+        end.join();
+    }
+    sleepMs(14'000);
+    int late = 0;
+    for (int k = 0; k < Jobs; ++k) {
+        if (endedAt[k] == 0) {
+            return NotRun;
+        }
+        // An item may arrive until cancel_ms after the end. Store and successor are undisturbed, so that is in touch.
+        const std::int64_t from = endedAt[k] + 3000;
+        const int begun = countBegun(site, from, "/rollout/3/j" + std::to_string(k) + "i");
+        site.record().line("result job=" + ids[k] + " ended_at=" + std::to_string(endedAt[k])
+                           + " counted_from=" + std::to_string(from) + " items_begun_later=" + std::to_string(begun));
+        late += begun;
+    }
+    return late > 0 ? Broken : Held;
+}
+
+/// The owner of a job stands still for some seconds; its successor's job is ended meanwhile.
+int frozenOwner(Site &site)
+{
+    site.store().put("config", "main", configuration());
+    ReplicaOptions pattern;
+    pattern.slots = 4;
+    pattern.events = 100;
+    pattern.eventMs = 100;
+    addEngines(site, "engines", 3, pattern);
+    site.addNode("north-a");
+    site.addNode("south-a");
+    site.addNode("north-b");
+    if (!site.start()) {
+        return NotRun;
+    }
+    Json items = Json::array();
+    for (int i = 0; i < 60; ++i) {
+        items.push_back(item("i" + std::to_string(i), "prompt " + std::to_string(i), "g" + std::to_string(i / 4)));
+    }
+    const std::string id = "7c41e09b52d6a3f8";
+    Client trainer(site, Host, "key-of-a");
+    if (trainer.submit("/rollout/7c41", id, job(items, 15)) != 202) {
+        return NotRun;
+    }
+    sleepMs(800);
+    const std::string owner = ownerOf(site, id);
+    constexpr std::int64_t FreezeMs = 4000;
+    const std::int64_t frozenAt = nowMs();
+    if (trouble()) {
+        site.node(owner).signal(SIGSTOP);
+        while (ownerOf(site, id) == owner && nowMs() < frozenAt + FreezeMs - 500) {
+            sleepMs(10);
+        }
+        if (ownerOf(site, id) == owner) {
+            return NotRun;
+        }
+        site.record().line("job taken over by " + ownerOf(site, id));
+    }
+    Node *asked = nullptr;
+    for (const auto &node : site.nodes()) {
+        asked = node->name() == owner ? asked : node.get();
+    }
+    if (trainer.end(*asked, id) != 200) {
+        return NotRun;
+    }
+    const std::int64_t endedAt = nowMs();
+    std::int64_t calmAt = nowMs();
+    if (trouble()) {
+        while (nowMs() < frozenAt + FreezeMs) {
+            sleepMs(10);
+        }
+        site.node(owner).signal(SIGCONT);
+        calmAt = nowMs();
+    }
+    sleepMs(14'000);
+    const std::int64_t from = std::max(endedAt + 3000, calmAt + 4000);
+    const int late = countBegun(site, from, "/rollout/3/");
+    site.record().line("result ended_at=" + std::to_string(endedAt) + " thawed_at=" + std::to_string(calmAt)
+                       + " begun_after_thaw=" + std::to_string(countBegun(site, calmAt, "/rollout/3/"))
+                       + " counted_from=" + std::to_string(from) + " items_begun_later=" + std::to_string(late));
+    return late > 0 ? Broken : Held;
+}
+
+/// A route sends a tenth of its items to a second service, whose replicas are lost for good.
+int deadCanary(Site &site)
+{
+    Json config = configuration();
+    config["routes"][0].erase("service");
+    config["routes"][0]["traffic_split"] = {{{"service", "engines"}, {"weight", 90}},
+                                            {{"service", "engines-next"}, {"weight", 10}}};
+    config["services"].push_back(engineService("engines-next"));
+    site.store().put("config", "main", config);
+    ReplicaOptions pattern;
+    pattern.slots = 12;
+    addEngines(site, "engines", 3, pattern);
+    ReplicaOptions canary = pattern;
+    canary.id = "i-engines-next-1";
+    canary.service = "engines-next";
+    canary.zone = "north-a";
+    canary.models = {Model};
+    Replica &next = site.addReplica(canary);
+    site.addNode("north-a");
+    site.addNode("south-a");
+    if (!site.start()) {
+        return NotRun;
+    }
+    if (trouble()) {
+        next.crash();
+        sleepMs(8000); // Steady state: contact_ms and the time of an entry have passed.
+    }
+    Json items = Json::array();
+    for (int i = 0; i < 48; ++i) {
+        items.push_back(item("i" + std::to_string(i), "prompt " + std::to_string(i), "g" + std::to_string(i / 4)));
+    }
+    const std::string id = "7c41e09b52d6a3f8";
+    Client trainer(site, Host, "key-of-a");
+    if (trainer.submit("/rollout/7c41", id, job(items, 11)) != 202) {
+        return NotRun;
+    }
+    const std::int64_t submittedAt = nowMs();
+    sleepMs(12'000); // The trainer's time limit.
+    std::set<std::string> begun;
+    std::int64_t lastBegun = submittedAt;
+    for (const Run &run : site.runs().all()) {
+        begun.insert(run.id);
+        lastBegun = std::max(lastBegun, run.atMs);
+    }
+    int status = 0;
+    const Json page = trainer.read(*site.nodes()[0], id, 0, status);
+    const std::size_t listed = page.is_object() ? page.value("next", std::size_t{0}) : 0;
+    trainer.end(*site.nodes()[0], id);
+    site.record().line("result items=48 begun=" + std::to_string(begun.size()) + " listed=" + std::to_string(listed)
+                       + " last_began_ms_after_202=" + std::to_string(lastBegun - submittedAt)
+                       + " slots_of_engines=36");
+    if (begun.empty()) {
+        return NotRun;
+    }
+    return begun.size() < 48 && nowMs() - lastBegun > 5000 ? Broken : Held;
+}
+
+/// A replica answers a stream with bytes without end, while the client reads at its own pace.
+int endlessStream(Site &site)
+{
+    Json config = configuration();
+    Json stream = rolloutRoute("engines");
+    stream["name"] = "r-stream";
+    stream["path_prefix"] = "/stream/";
+    stream["kind"] = "stream";
+    stream.erase("queue_ttl_s");
+    stream.erase("result_due_ms");
+    config["routes"].push_back(stream);
+    config["routes"].push_back({{"name", "r-app"},
+                                {"host", "app.example"},
+                                {"path_prefix", "/app/"},
+                                {"kind", "safe"},
+                                {"timeout_ms", 2000},
+                                {"target_latency_ms", 600},
+                                {"priority", 2},
+                                {"service", "app"},
+                                {"max_attempts", 2},
+                                {"auth_exempt", false}});
+    config["services"].push_back(
+        {{"name", "app"}, {"health_path", "/health"}, {"max_conns", 110}, {"protocol", "h1"}, {"tls", false}});
+    site.store().put("config", "main", config);
+    ReplicaOptions engine;
+    engine.endless = trouble();
+    addEngines(site, "engines", 1, engine);
+    for (int i = 0; i < 3; ++i) {
+        ReplicaOptions app;
+        app.id = "i-app-" + std::to_string(i + 1);
+        app.service = "app";
+        app.zone = "north-a";
+        app.slots = 6;
+        app.workMs = 300;
+        site.addReplica(app);
+    }
+    site.addNode("north-a");
+    site.addNode("south-a");
+    if (!site.start()) {
+        return NotRun;
+    }
+    Node &node = *site.nodes()[0];
+    const std::size_t limit = site.settings()["limits"]["memory_mb"].get<std::size_t>() << 20;
+    std::atomic<bool> stop{false};
+    std::atomic<std::size_t> peak{0};
+    std::atomic<int> lost{0};
+    std::atomic<int> served{0};
+    // The platform ends a process that uses more than memory_mb.
+    std::thread platform([&] {
+        while (!stop) {
+            const std::size_t used = node.residentBytes();
+            peak = std::max(peak.load(), used);
+            if (used > limit) {
+                site.record().line("node " + node.name() + " uses " + std::to_string(used >> 20)
+                                   + " MB: the platform ends it");
+                node.kill();
+                return;
+            }
+            sleepMs(20);
+        }
+    });
+    std::vector<std::thread> apps;
+    apps.reserve(8);
+    for (int k = 0; k < 8; ++k) {
+        apps.emplace_back([&, k] {
+            const auto connection = dial(node.front());
+            for (int i = 0; connection != nullptr && !stop; ++i) {
+                const std::string id = "app-" + std::to_string(k) + "-" + std::to_string(i);
+                Message response;
+                if (!connection->write(encodeRequest("GET", "/app/" + id,
+                                                     {{"Host", "app.example"},
+                                                      {"Authorization", "Bearer key-of-b"},
+                                                      {"X-Attempt-Id", id},
+                                                      {"X-Deadline-Ms", "2000"}},
+                                                     ""))
+                    || !connection->read(response, true, 2500)) {
+                    const auto runs = site.runs().all();
+                    const bool passedOn =
+                        std::any_of(runs.begin(), runs.end(), [&](const Run &run) { return run.id == id; });
+                    site.record().line("request " + id + " on a kept connection has no answer"
+                                       + (passedOn ? ", it was passed on" : ""));
+                    lost += static_cast<int>(passedOn && i > 0);
+                    return;
+                }
+                served += static_cast<int>(response.status == 200);
+            }
+        });
+    }
+    sleepMs(2000);
+    const auto reader = dial(node.front());
+    if (reader != nullptr
+        && reader->write(encodeRequest("POST", "/stream/x",
+                                       {{"Host", Host},
+                                        {"Authorization", "Bearer key-of-a"},
+                                        {"X-Attempt-Id", "5e1f"},
+                                        {"X-Deadline-Ms", "10000"},
+                                        {"X-Model", Model}},
+                                       "prompt"))) {
+        const std::int64_t until = nowMs() + 10'000;
+        while (nowMs() < until && reader->skip(65536, 2000)) {
+            sleepMs(10); // About 6 MB a second, some 50 Mbit/s.
+        }
+    }
+    sleepMs(1000);
+    stop = true;
+    platform.join();
+    for (std::thread &app : apps) {
+        app.join();
+    }
+    site.record().line("result peak_mb=" + std::to_string(peak >> 20) + " limit_mb=" + std::to_string(limit >> 20)
+                       + " app_served=" + std::to_string(served) + " app_lost=" + std::to_string(lost));
+    if (served == 0) {
+        return NotRun;
+    }
+    return lost > 3 ? Broken : Held;
+}
+
+const std::map<std::string, int (*)(Site &)> &cases()
+{
+    static const std::map<std::string, int (*)(Site &)> all{
+        {"forged-tenant", forgedTenant}, {"foreign-text", foreignText}, {"end-during-takeover", endDuringTakeover},
+        {"frozen-owner", frozenOwner},   {"dead-canary", deadCanary},   {"endless-stream", endlessStream}};
+    return all;
+}
+
+} // namespace
+
+} // namespace review
+
+int main(int argc, char **argv)
+{
+    const auto found = argc == 3 ? review::cases().find(argv[1]) : review::cases().end();
+    if (found == review::cases().end()) {
+        std::cerr << "usage: review-case CASE FOLDER, from the root of the repository\n";
+        return 2;
+    }
+    try {
+        review::Site site(argv[2]);
+        const int result = found->second(site);
+        site.record().line(result == 1 ? "BROKEN" : result == 0 ? "HELD" : "NOT RUN");
+        return result;
+    } catch (const std::exception &error) {
+        std::cerr << error.what() << '\n';
+        return 2;
+    }
+}
