--- a/review/harness/cases.cpp
+++ b/review/harness/cases.cpp
@@ -516,11 +516,100 @@
     return lost > 3 ? Broken : Held;
 }
 
+/// Jobs are submitted while the store loses answers and then refuses calls; a daemon is restarted later.
+int refusedJob(Site &site)
+{
+    constexpr std::size_t Jobs = 96;
+    site.store().put("config", "main", configuration());
+    ReplicaOptions pattern;
+    pattern.slots = 12;
+    addEngines(site, "engines", 3, pattern);
+    site.addNode("north-a");
+    site.addNode("south-a");
+    site.addNode("north-b");
+    if (!site.start()) {
+        return NotRun;
+    }
+    const auto begin = nowMs();
+    std::thread store([&] {
+        if (!trouble()) {
+            return;
+        }
+        site.store().setLostShare(0.35);
+        sleepMs(2500);
+        site.store().setMode(Store::Mode::Busy);
+        sleepMs(2000);
+        site.store().setLostShare(0);
+        sleepMs(2500);
+        site.store().setMode(Store::Mode::Up);
+    });
+    std::mutex mutex;
+    std::map<std::string, std::vector<int>> statuses;
+    std::vector<std::thread> trainers;
+    trainers.reserve(Jobs);
+    for (std::size_t k = 0; k < Jobs; ++k) {
+        trainers.emplace_back([&, k] {
+            sleepMs(500 + static_cast<std::int64_t>(k) * 20);
+            Client trainer(site, Host, "key-of-a");
+            const std::string id = "7c41e09b52d6a" + std::to_string(300 + k);
+            Json items = Json::array();
+            for (int i = 0; i < 4; ++i) {
+                const std::string name = "j" + std::to_string(k) + "i" + std::to_string(i);
+                items.push_back(item(name, "prompt " + name, "g"));
+            }
+            const std::string body = job(items, 1).dump();
+            // One attempt and one more at another daemon.
+            for (std::size_t attempt = 0; attempt < 2; ++attempt) {
+                Node &node = *site.nodes()[(k + attempt) % site.nodes().size()];
+                const int status = trainer
+                                       .send(node, "POST", "/rollout/" + id,
+                                             {{"X-Attempt-Id", id}, {"Content-Type", "application/json"}}, body, 4000)
+                                       .status;
+                site.record().line("client submits " + id + " at " + node.name() + ": " + std::to_string(status));
+                const std::lock_guard lock(mutex);
+                statuses[id].push_back(status);
+                if (status == 202) {
+                    return;
+                }
+                sleepMs(300);
+            }
+        });
+    }
+    for (std::thread &trainer : trainers) {
+        trainer.join();
+    }
+    store.join();
+    sleepMs(std::max<std::int64_t>(0, begin + 12'000 - nowMs()));
+    for (const auto &node : site.nodes()) {
+        node->terminate(8000);
+        sleepMs(500);
+        node->start();
+        sleepMs(6000);
+    }
+    sleepMs(4000);
+    int refused = 0;
+    int ran = 0;
+    for (std::size_t k = 0; k < Jobs; ++k) {
+        const std::vector<int> &answers = statuses["7c41e09b52d6a" + std::to_string(300 + k)];
+        if (std::any_of(answers.begin(), answers.end(), [](int status) { return status != 503; })) {
+            continue;
+        }
+        ++refused;
+        const int begun = countBegun(site, 0, "/rollout/3/j" + std::to_string(k) + "i");
+        ran += begun;
+        site.record().line("refused job " + std::to_string(300 + k) + " items_run=" + std::to_string(begun));
+    }
+    site.record().line("result refused_jobs=" + std::to_string(refused)
+                       + " items_run_of_refused_jobs=" + std::to_string(ran));
+    return ran > 0 ? Broken : Held;
+}
+
 const std::map<std::string, int (*)(Site &)> &cases()
 {
     static const std::map<std::string, int (*)(Site &)> all{
         {"forged-tenant", forgedTenant}, {"foreign-text", foreignText}, {"end-during-takeover", endDuringTakeover},
-        {"frozen-owner", frozenOwner},   {"dead-canary", deadCanary},   {"endless-stream", endlessStream}};
+        {"frozen-owner", frozenOwner},   {"dead-canary", deadCanary},   {"endless-stream", endlessStream},
+        {"refused-job", refusedJob}};
     return all;
 }
 
--- a/review/harness/site.cpp
+++ b/review/harness/site.cpp
@@ -97,6 +97,12 @@
     server_.stop();
 }
 
+bool Store::isStopped()
+{
+    const std::lock_guard lock(mutex_);
+    return stopped_;
+}
+
 void Store::setMode(Mode mode)
 {
     const std::lock_guard lock(mutex_);
@@ -105,6 +111,13 @@
     wake_.notify_all();
 }
 
+void Store::setLostShare(double share)
+{
+    const std::lock_guard lock(mutex_);
+    lostShare_ = share;
+    record_.line("store loses the answers of " + std::to_string(share) + " of the writes");
+}
+
 void Store::cutWatches()
 {
     const std::lock_guard lock(mutex_);
@@ -327,6 +340,15 @@
         if (hook) {
             hook(kind, written, spec, answer.first);
         }
+        std::unique_lock lock(mutex_);
+        if (answer.first / 100 == 2 && std::uniform_real_distribution<double>(0, 1)(random_) < lostShare_) {
+            record_.line("store loses the answer to " + request.method + " " + kind + "/" + written);
+            lock.unlock();
+            while (!connection.peerClosed() && !isStopped()) {
+                sleepMs(50);
+            }
+            return false;
+        }
     }
     sleepMs(answerMs_);
     return connection.write(encodeResponse(answer.first, {{"Content-Type", "application/json"}}, answer.second.dump()));
--- a/review/harness/site.h
+++ b/review/harness/site.h
@@ -15,6 +15,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <random>
 
 namespace review {
 
@@ -57,6 +58,8 @@
     /// Time from a call's execution to its answer.
     void setAnswerMs(int duration) { answerMs_ = duration; }
     void setValueBytes(std::size_t bytes) { valueBytes_ = bytes; }
+    /// Share of the writes that are done and not answered.
+    void setLostShare(double share);
     /// Cuts off the watches that are waiting.
     void cutWatches();
     /// Writes or removes an object, as the operator or a replica does. Returns once it is stored.
@@ -81,6 +84,7 @@
         std::string kind;
         Json body;
     };
+    bool isStopped();
     bool serve(const Message &request, Connection &connection);
     std::pair<int, Json> execute(const Message &request, const std::string &kind, const std::string &name,
                                  bool ofStatus);
@@ -99,6 +103,8 @@
     std::uint64_t cut_ = 0; ///< Number of times that the watches were cut off.
     Mode mode_ = Mode::Up;
     bool stopped_ = false;
+    double lostShare_ = 0;
+    std::mt19937 random_{7};
     std::atomic<int> answerMs_{4};
     std::atomic<std::size_t> valueBytes_{1048576};
     std::function<void(const std::string &, const std::string &, const Json &, int)> hook_;
