review: case 1 shows a smuggled request as well

An item's path with line breaks is a second request at the replica, with an id and a tenant of the client's choice.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,9 +1,9 @@
 #!/usr/bin/env bash
-# Items of a job carry the header of another tenant.
+# A request in the path of an item, and the system's own fields in the headers of items.
 # Exit code: 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/currantlug-node ] && [ -x target/review/review-case ] || exit 2
-timeout -k 2 115 target/review/review-case forged-tenant review/1
+timeout -k 2 115 target/review/review-case smuggled-request review/1
 result=$?
 [ "$result" -le 2 ] || result=2
 exit "$result"
--- a/review/harness/cases.cpp
+++ b/review/harness/cases.cpp
@@ -93,8 +93,8 @@
     return record ? record->value("owner", "") : "";
 }
 
-/// Items of a job carry a header that names another tenant, and one with the client's key.
-int forgedTenant(Site &site)
+/// A client puts a whole request into the path of an item, and fields of the system into the headers of others.
+int smuggledRequest(Site &site)
 {
     site.store().put("config", "main", configuration());
     addEngines(site, "engines", 3, {});
@@ -105,31 +105,39 @@
     }
     Client trainer(site, Host, "key-of-a");
     Json items = Json::array();
+    std::set<std::string> sent;
     for (int i = 0; i < 6; ++i) {
-        items.push_back(item("a7c" + std::to_string(i), "prompt " + std::to_string(i), "g" + std::to_string(i / 2)));
-        if (trouble()) {
-            items.back()["headers"]["X-Tenant"] = "tenant-b";
-            items.back()["headers"]["Authorization"] = "Bearer key-of-a";
-        }
+        const std::string id = "a7c" + std::to_string(i);
+        sent.insert(id);
+        items.push_back(item(id, "prompt " + std::to_string(i), "g" + std::to_string(i / 2)));
+    }
+    if (trouble()) {
+        items[1]["path"] = std::string("/rollout/3/b HTTP/1.1\r\nHost: ") + Host
+            + "\r\nX-Attempt-Id: 5eed\r\nX-Tenant: tenant-b\r\nX-Model: " + Model
+            + "\r\nContent-Length: 0\r\n\r\nPOST /rollout/3/a7c1";
+        items[4]["headers"]["X-Tenant"] = "tenant-b";
+        items[5]["headers"]["Authorization"] = "Bearer key-of-a";
     }
     if (trainer.submit("/rollout/7c41", "7c41e09b52d6a3f8", job(items, 3)) != 202) {
         return NotRun;
     }
     sleepMs(6000);
-    int wrong = 0;
+    int smuggled = 0;
+    int ofOthers = 0;
     int withKey = 0;
     const std::vector<Run> runs = site.runs().all();
     for (const Run &run : runs) {
-        wrong += static_cast<int>(std::any_of(run.tenants.begin(), run.tenants.end(),
-                                              [](const std::string &tenant) { return tenant != "tenant-a"; }));
+        smuggled += static_cast<int>(!sent.contains(run.id));
+        ofOthers += static_cast<int>(std::any_of(run.tenants.begin(), run.tenants.end(),
+                                                 [](const std::string &tenant) { return tenant != "tenant-a"; }));
         withKey += static_cast<int>(!run.keys.empty());
     }
-    site.record().line("result runs=" + std::to_string(runs.size()) + " with_foreign_tenant=" + std::to_string(wrong)
-                       + " with_key=" + std::to_string(withKey));
+    site.record().line("result runs=" + std::to_string(runs.size()) + " smuggled=" + std::to_string(smuggled)
+                       + " with_foreign_tenant=" + std::to_string(ofOthers) + " with_key=" + std::to_string(withKey));
     if (runs.empty()) {
         return NotRun;
     }
-    return wrong > 0 || withKey > 0 ? Broken : Held;
+    return smuggled > 0 || ofOthers > 0 || withKey > 0 ? Broken : Held;
 }
 
 /// Two tenants number the items of their jobs in the same way; the first one ends its job early.
@@ -606,10 +614,13 @@
 
 const std::map<std::string, int (*)(Site &)> &cases()
 {
-    static const std::map<std::string, int (*)(Site &)> all{
-        {"forged-tenant", forgedTenant}, {"foreign-text", foreignText}, {"end-during-takeover", endDuringTakeover},
-        {"frozen-owner", frozenOwner},   {"dead-canary", deadCanary},   {"endless-stream", endlessStream},
-        {"refused-job", refusedJob}};
+    static const std::map<std::string, int (*)(Site &)> all{{"smuggled-request", smuggledRequest},
+                                                            {"foreign-text", foreignText},
+                                                            {"end-during-takeover", endDuringTakeover},
+                                                            {"frozen-owner", frozenOwner},
+                                                            {"dead-canary", deadCanary},
+                                                            {"endless-stream", endlessStream},
+                                                            {"refused-job", refusedJob}};
     return all;
 }
 
