--- a/review/harness/cases.cpp
+++ b/review/harness/cases.cpp
@@ -612,6 +612,28 @@
     return ran > 0 ? Broken : Held;
 }
 
+/// A client submits a job whose items are arrays in arrays, within max_body_bytes.
+int deepBody(Site &site)
+{
+    site.store().put("config", "main", configuration());
+    addEngines(site, "engines", 3, {});
+    site.addNode("north-a");
+    site.addNode("south-a");
+    if (!site.start()) {
+        return NotRun;
+    }
+    Client trainer(site, Host, "key-of-a");
+    Node &node = *site.nodes()[0];
+    const std::size_t depth = trouble() ? 200'000 : 1'000;
+    const std::string body = "{\"items\":" + std::string(depth, '[') + std::string(depth, ']') + "}";
+    const int status = trainer.send(node, "POST", "/rollout/x", {{"X-Attempt-Id", "d1"}}, body, 3000).status;
+    sleepMs(500);
+    const bool runs = node.running();
+    site.record().line("result depth=" + std::to_string(depth) + " status=" + std::to_string(status)
+                       + (runs ? " the process runs" : " the process has ended"));
+    return runs ? Held : Broken;
+}
+
 const std::map<std::string, int (*)(Site &)> &cases()
 {
     static const std::map<std::string, int (*)(Site &)> all{{"smuggled-request", smuggledRequest},
@@ -620,7 +642,8 @@
                                                             {"frozen-owner", frozenOwner},
                                                             {"dead-canary", deadCanary},
                                                             {"endless-stream", endlessStream},
-                                                            {"refused-job", refusedJob}};
+                                                            {"refused-job", refusedJob},
+                                                            {"deep-body", deepBody}};
     return all;
 }
 
