--- a/review/harness/cases.cpp
+++ b/review/harness/cases.cpp
@@ -634,6 +634,113 @@
     return runs ? Held : Broken;
 }
 
+/// All processes are killed while trainers end their jobs, and are back at once.
+int endAsAllEnd(Site &site)
+{
+    constexpr std::size_t Jobs = 30;
+    constexpr int ItemsOfJob = 48;
+    site.store().setAnswerMs(28); // The daemons stand in the region without the store.
+    site.store().put("config", "main", configuration());
+    ReplicaOptions pattern;
+    pattern.slots = 4;
+    addEngines(site, "engines", 3, pattern);
+    site.addNode("south-a");
+    site.addNode("south-a");
+    site.addNode("south-a");
+    if (!site.start()) {
+        return NotRun;
+    }
+    Client trainer(site, Host, "key-of-a");
+    std::vector<std::string> ids;
+    for (std::size_t k = 0; k < Jobs; ++k) {
+        Json items = Json::array();
+        for (int i = 0; i < ItemsOfJob; ++i) {
+            const std::string name = "j" + std::to_string(k) + "i" + std::to_string(i);
+            items.push_back(item(name, std::string(36'000, 'p') + name, "g" + std::to_string(i / 4)));
+        }
+        ids.push_back("7c41e09b52d6a" + std::to_string(300 + k));
+        if (trainer.submit("/rollout/" + ids.back(), ids.back(), job(items, ItemsOfJob / 4)) != 202) {
+            return NotRun;
+        }
+    }
+    std::vector<std::int64_t> endedAt(Jobs);
+    std::vector<std::thread> ends;
+    ends.reserve(Jobs);
+    const std::int64_t begin = nowMs();
+    for (std::size_t k = 0; k < Jobs; ++k) {
+        ends.emplace_back([&, k] {
+            sleepMs(static_cast<std::int64_t>(k) * 80);
+            for (std::size_t attempt = 0; attempt < 30 && endedAt[k] == 0; ++attempt) {
+                endedAt[k] = trainer.end(*site.nodes()[(k + attempt) % 3], ids[k]) == 200 ? nowMs() : 0;
+                sleepMs(endedAt[k] == 0 ? 150 : 0);
+            }
+        });
+    }
+    std::int64_t killedAt = 0;
+    if (trouble()) {
+        sleepMs(300);
+        killedAt = nowMs() - begin;
+        for (const auto &node : site.nodes()) {
+            node->signal(SIGKILL);
+        }
+        for (const auto &node : site.nodes()) {
+            node->kill();
+        }
+        sleepMs(650);
+        for (const auto &node : site.nodes()) {
+            node->start();
+        }
+    }
+    for (std::thread &end : ends) {
+        end.join();
+    }
+    sleepMs(14'000);
+    int late = 0;
+    for (std::size_t k = 0; k < Jobs; ++k) {
+        const int begun = countBegun(site, endedAt[k] + 3000, "/rollout/3/j" + std::to_string(k) + "i");
+        late += begun;
+        site.record().line("result job=" + ids[k] + " ended_at=" + std::to_string(endedAt[k] - begin)
+                           + " killed_at=" + std::to_string(killedAt)
+                           + " items_begun_later=" + std::to_string(begun));
+    }
+    return late > 0 ? Broken : Held;
+}
+
+/// The lease holder stands still for some seconds, again and again, while new weights are named.
+int pausedLeader(Site &site)
+{
+    site.store().put("config", "main", configuration());
+    addEngines(site, "engines", 6, {});
+    site.addNode("north-a");
+    site.addNode("south-a");
+    site.addNode("north-b");
+    if (!site.start()) {
+        return NotRun;
+    }
+    std::atomic<bool> stop{false};
+    std::thread namer([&] {
+        for (int version = 2; !stop; ++version) {
+            site.store().put("versions", Model, {{"model", Model}, {"version", version}});
+            sleepMs(700);
+        }
+    });
+    for (int round = 0; round < 7 && trouble(); ++round) {
+        const auto lease = site.store().get("leases", "controller");
+        const std::string holder = lease ? lease->value("holder", "") : "";
+        const std::string name = holder.substr(0, holder.find('@'));
+        if (!name.empty()) {
+            site.node(name).signal(SIGSTOP);
+            sleepMs(5000 + round * 37);
+            site.node(name).signal(SIGCONT);
+        }
+        sleepMs(5500);
+    }
+    sleepMs(trouble() ? 100 : 20'000);
+    stop = true;
+    namer.join();
+    return Held;
+}
+
 const std::map<std::string, int (*)(Site &)> &cases()
 {
     static const std::map<std::string, int (*)(Site &)> all{{"smuggled-request", smuggledRequest},
@@ -643,7 +750,7 @@
                                                             {"dead-canary", deadCanary},
                                                             {"endless-stream", endlessStream},
                                                             {"refused-job", refusedJob},
-                                                            {"deep-body", deepBody}};
+                                                            {"deep-body", deepBody},{"end-as-all-end", endAsAllEnd},{"paused-leader", pausedLeader}};
     return all;
 }
 
