--- a/review/harness/cases.cpp
+++ b/review/harness/cases.cpp
@@ -115,6 +115,7 @@
         items[1]["path"] = std::string("/rollout/3/b HTTP/1.1\r\nHost: ") + Host
             + "\r\nX-Attempt-Id: 5eed\r\nX-Tenant: tenant-b\r\nX-Model: " + Model
             + "\r\nContent-Length: 0\r\n\r\nPOST /rollout/3/a7c1";
+        site.record().line("item a7c1 of tenant-a has the path " + items[1]["path"].dump());
         items[4]["headers"]["X-Tenant"] = "tenant-b";
         items[5]["headers"]["Authorization"] = "Bearer key-of-a";
     }
@@ -492,11 +493,13 @@
                     return;
                 }
                 served += static_cast<int>(response.status == 200);
+                site.record().line("request " + id + " answered " + std::to_string(response.status));
             }
         });
     }
     sleepMs(2000);
     const auto reader = dial(node.front());
+    site.record().line("client of tenant-a sends stream request 5e1f to " + node.name());
     if (reader != nullptr
         && reader->write(encodeRequest("POST", "/stream/x",
                                        {{"Host", Host},
@@ -700,8 +703,7 @@
         const int begun = countBegun(site, endedAt[k] + 3000, "/rollout/3/j" + std::to_string(k) + "i");
         late += begun;
         site.record().line("result job=" + ids[k] + " ended_at=" + std::to_string(endedAt[k] - begin)
-                           + " killed_at=" + std::to_string(killedAt)
-                           + " items_begun_later=" + std::to_string(begun));
+                           + " killed_at=" + std::to_string(killedAt) + " items_begun_later=" + std::to_string(begun));
     }
     return late > 0 ? Broken : Held;
 }
@@ -741,6 +743,118 @@
     return Held;
 }
 
+/// Replicas send second copies of answers and lose others; the daemons are stopped and started in turn.
+int plainRequests(Site &site)
+{
+    Json config = configuration();
+    for (const char *kind : {"safe", "unsafe"}) {
+        config["routes"].push_back({{"name", std::string("r-") + kind},
+                                    {"host", "app.example"},
+                                    {"path_prefix", std::string("/") + kind + "/"},
+                                    {"kind", kind},
+                                    {"timeout_ms", 2000},
+                                    {"target_latency_ms", 200},
+                                    {"priority", 2},
+                                    {"service", "app"},
+                                    {"max_attempts", 3},
+                                    {"auth_exempt", false}});
+    }
+    config["services"].push_back(
+        {{"name", "app"}, {"health_path", "/health"}, {"max_conns", 110}, {"protocol", "h1"}, {"tls", false}});
+    site.store().put("config", "main", config);
+    for (int i = 0; i < 3; ++i) {
+        ReplicaOptions app;
+        app.id = "i-app-" + std::to_string(i + 1);
+        app.service = "app";
+        app.zone = i == 1 ? "south-a" : "north-a";
+        app.slots = 12;
+        app.workMs = 10 + 20 * i;
+        app.copies = trouble() ? 2 : 1;
+        app.loseEach = trouble() ? 7 : 0;
+        site.addReplica(app);
+    }
+    site.addNode("north-a");
+    site.addNode("south-a");
+    site.addNode("north-b");
+    if (!site.start()) {
+        return NotRun;
+    }
+    std::atomic<bool> stop{false};
+    std::mutex mutex;
+    std::map<std::string, int> statuses; // By id, of unsafe requests.
+    std::atomic<int> foreign{0};
+    std::atomic<int> served{0};
+    std::atomic<int> cut{0};
+    std::vector<std::thread> clients;
+    clients.reserve(12);
+    for (std::size_t k = 0; k < 12; ++k) {
+        clients.emplace_back([&, k] {
+            std::unique_ptr<Connection> connection;
+            for (std::size_t i = 0; !stop; ++i) {
+                if (connection == nullptr) {
+                    connection = dial(site.nodes()[(k + i) % 3]->front());
+                    if (connection == nullptr) {
+                        sleepMs(50);
+                        continue;
+                    }
+                }
+                const std::string kind = (k + i) % 2 == 0 ? "safe" : "unsafe";
+                const std::string id = kind + "-" + std::to_string(k) + "-" + std::to_string(i);
+                const std::string path = std::string("/").append(kind).append("/").append(id);
+                Message response;
+                const bool answered = connection->write(encodeRequest("POST", path,
+                                                                      {{"Host", "app.example"},
+                                                                       {"Authorization", "Bearer key-of-b"},
+                                                                       {"X-Attempt-Id", id},
+                                                                       {"X-Deadline-Ms", "2000"}},
+                                                                      "body"))
+                    && connection->read(response, true, 3000);
+                const bool right = response.status != 200 || response.body == "bytes of " + id;
+                if (!right) {
+                    site.record().line("request " + id + " got another answer: " + response.body);
+                }
+                foreign += static_cast<int>(!right);
+                served += static_cast<int>(response.status == 200);
+                cut += static_cast<int>(!answered);
+                if (!answered || response.header("Connection") == "close") {
+                    connection.reset();
+                }
+                const std::lock_guard lock(mutex);
+                statuses[id] = response.status;
+            }
+        });
+    }
+    for (const auto &node : site.nodes()) {
+        sleepMs(3000);
+        if (trouble()) {
+            node->terminate(8000);
+            sleepMs(500);
+            node->start();
+        }
+    }
+    sleepMs(5000);
+    stop = true;
+    for (std::thread &client : clients) {
+        client.join();
+    }
+    std::map<std::string, int> runs;
+    for (const Run &run : site.runs().all()) {
+        ++runs[run.id];
+    }
+    int twice = 0;
+    int refusedAndRun = 0;
+    for (const auto &[id, count] : runs) {
+        const bool isUnsafe = id.rfind("unsafe", 0) == 0;
+        twice += static_cast<int>(isUnsafe && count > 1);
+        const int status = statuses[id];
+        refusedAndRun += static_cast<int>(isUnsafe && (status == 503 || status == 429));
+    }
+    site.record().line("result served=" + std::to_string(served) + " foreign=" + std::to_string(foreign)
+                       + " cut=" + std::to_string(cut) + " unsafe_twice=" + std::to_string(twice)
+                       + " unsafe_refused_and_run=" + std::to_string(refusedAndRun));
+    return foreign > 0 || twice > 0 || refusedAndRun > 0 ? Broken : Held;
+}
+
 const std::map<std::string, int (*)(Site &)> &cases()
 {
     static const std::map<std::string, int (*)(Site &)> all{{"smuggled-request", smuggledRequest},
@@ -750,7 +864,10 @@
                                                             {"dead-canary", deadCanary},
                                                             {"endless-stream", endlessStream},
                                                             {"refused-job", refusedJob},
-                                                            {"deep-body", deepBody},{"end-as-all-end", endAsAllEnd},{"paused-leader", pausedLeader}};
+                                                            {"deep-body", deepBody},
+                                                            {"end-as-all-end", endAsAllEnd},
+                                                            {"paused-leader", pausedLeader},
+                                                            {"plain-requests", plainRequests}};
     return all;
 }
 
--- a/review/harness/site.cpp
+++ b/review/harness/site.cpp
@@ -563,7 +563,16 @@
         return false;
     }
     runs_.end(index, 0, true);
-    return connection.write(encodeResponse(200, baseHeaders(request), "bytes of " + request.header("X-Attempt-Id")));
+    if (options_.loseEach > 0 && index % static_cast<std::size_t>(options_.loseEach) == 0) {
+        return false;
+    }
+    const std::string answer = encodeResponse(200, baseHeaders(request), "bytes of " + request.header("X-Attempt-Id"));
+    bool open = connection.write(answer);
+    for (int copy = 1; copy < options_.copies && open; ++copy) {
+        sleepMs(5 + static_cast<std::int64_t>(index % 10) * 5);
+        open = connection.write(answer);
+    }
+    return open;
 }
 
 bool Replica::order(const Message &request, Connection &connection)
--- a/review/harness/site.h
+++ b/review/harness/site.h
@@ -152,6 +152,8 @@
     int eventMs = 100;
     std::size_t eventBytes = 40;
     int workMs = 25; ///< Of a plain request.
+    int copies = 1; ///< Faulty if above 1: of each answer of a plain replica, the later ones 5 to 50 ms late.
+    int loseEach = 0; ///< Faulty if above 0: each so-many-th request is run and its connection reset.
     bool endless = false; ///< Faulty: the body of a stream has bytes without end.
 };
 
