--- a/src/jobs/itemtracker.cpp
+++ b/src/jobs/itemtracker.cpp
@@ -15,6 +15,9 @@
 {
     for (const ItemSpec &item : spec.items) {
         byId_.emplace(item.id, items_.size());
+        if (!item.textKey.empty()) {
+            byTextKey_.emplace(item.textKey, items_.size());
+        }
         order_.push_back(items_.size());
         items_.emplace_back().spec = item;
     }
@@ -29,6 +32,12 @@
     return found == byId_.end() ? std::nullopt : std::optional(found->second);
 }
 
+std::optional<std::size_t> ItemTracker::findByTextKey(const std::string &textKey) const
+{
+    const auto found = byTextKey_.find(textKey);
+    return found == byTextKey_.end() ? std::nullopt : std::optional(found->second);
+}
+
 std::vector<std::size_t> ItemTracker::sendOrder(Instant now) const
 {
     std::vector<std::size_t> ready;
--- a/src/jobs/itemtracker.h
+++ b/src/jobs/itemtracker.h
@@ -80,6 +80,8 @@
     const std::vector<Item> &items() const { return items_; }
     /// Returns the index of an item, or nullopt for an unknown id.
     std::optional<std::size_t> find(std::string_view id) const;
+    /// Returns the index of the item with this text key, or nullopt if there is none.
+    std::optional<std::size_t> findByTextKey(const std::string &textKey) const;
 
     /// Returns the waiting items that may be sent now, in sending order: items that already have text first, each part
     /// by descending length hint. A training step needs nearly all of its groups, so it lasts until its longest item is
@@ -102,6 +104,7 @@
     std::vector<Item> items_;
     std::vector<std::size_t> order_; ///< All items by descending length hint.
     absl::flat_hash_map<std::string, std::size_t> byId_;
+    absl::flat_hash_map<std::string, std::size_t> byTextKey_; ///< Items without a key are left out.
     std::size_t storedCount_ = 0;
 };
 
--- a/src/jobs/job.cpp
+++ b/src/jobs/job.cpp
@@ -1,7 +1,10 @@
 // Conversion of jobs, items and results to and from JSON.
 #include "jobs/job.h"
 
+#include "core/hash.h"
+
 #include <absl/strings/escaping.h>
+#include <absl/strings/str_cat.h>
 
 #include <algorithm>
 #include <iterator>
@@ -23,8 +26,42 @@
     return numbers;
 }
 
+/// Appends a field so that the boundaries of fields can't be moved by their contents.
+void appendField(std::string &text, std::string_view field)
+{
+    absl::StrAppend(&text, field.size(), ":", std::string(field));
+}
+
 } // namespace
 
+void assignTextKeys(JobSpec &spec)
+{
+    for (ItemSpec &item : spec.items) {
+        std::string text;
+        for (const std::string *field : {&spec.workspace, &spec.host, &spec.model, &item.id, &item.path}) {
+            appendField(text, *field);
+        }
+        for (const net::Header &field : item.headers.fields()) {
+            appendField(text, field.name);
+            appendField(text, field.value);
+        }
+        text += sha256Hex(item.body); // A body may have megabytes, so it isn't copied.
+        item.textKey = sha256Hex(text);
+    }
+}
+
+std::string scoreKey(const ItemSpec &item)
+{
+    if (!item.reward) {
+        return {};
+    }
+    std::string text;
+    for (const std::string *field : {&item.reward->id, &item.reward->host, &item.reward->path, &item.reward->body}) {
+        appendField(text, *field);
+    }
+    return sha256Hex(text);
+}
+
 void ItemText::addVersion(std::uint64_t version)
 {
     if (std::find(versions.begin(), versions.end(), version) == versions.end()) {
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -74,6 +74,9 @@
     std::string group; ///< Items of a group share a prompt.
     double lengthHint = 0; ///< Estimated number of output tokens; 0 if the trainer sent none.
     std::optional<RewardSpec> reward; ///< If set, the item isn't completed without a score.
+    /// Digest of everything that determines the text, set by assignTextKeys(). Jobs share the texts of items with equal
+    /// keys; an item with an empty key shares none.
+    std::string textKey;
 };
 
 /// A job as the trainer submitted it.
@@ -139,6 +142,12 @@
     std::vector<ItemResult> results;
 };
 
+/// Sets the text keys of all items: digests of the workspace, host and model of the job, and of the id, path, header
+/// fields and body of the item. Ids alone are chosen by clients and are unique only within a job.
+void assignTextKeys(JobSpec &spec);
+/// Digest of a whole reward call; empty without one. A score belongs to one such call.
+std::string scoreKey(const ItemSpec &item);
+
 Json toJson(const JobRecord &record);
 std::optional<JobRecord> parseJobRecord(std::string_view id, const Json &value);
 Json toJson(const ItemSpec &item);
--- a/src/jobs/jobrunner.cpp
+++ b/src/jobs/jobrunner.cpp
@@ -364,12 +364,12 @@
     flushIfDue();
 }
 
-void JobRunner::reuseText(const std::string &itemId, const ItemText &text)
+void JobRunner::reuseText(const std::string &textKey, const ItemText &text)
 {
-    const auto index = tracker_.find(itemId);
+    const auto index = tracker_.findByTextKey(textKey);
     if (index && tracker_.reuseText(*index, text, spec_.minVersion, singleVersion())) {
         telemetry::log(Level::Info, "item", "text_reused",
-                       {telemetry::requestId(itemId),
+                       {telemetry::requestId(tracker_.items()[*index].spec.id),
                         {"job", spec_.id},
                         {"events", text.events.size()},
                         {"complete", text.complete}});
@@ -379,9 +379,9 @@
     }
 }
 
-void JobRunner::reuseResult(const ItemResult &result, std::string_view rewardId)
+void JobRunner::reuseResult(const std::string &textKey, const ItemResult &result, std::string_view scoreKey)
 {
-    const auto index = tracker_.find(result.id);
+    const auto index = tracker_.findByTextKey(textKey);
     if (!index || result.state != ResultState::Completed
         || !versionsAllowed(result.versions, spec_.minVersion, singleVersion())
         || tracker_.items()[*index].state != ItemState::Waiting) {
@@ -390,9 +390,9 @@
     Item &item = tracker_.items()[*index];
     item.text.events = {result.text};
     item.text.versions = result.versions;
-    const bool scored = item.spec.reward && item.spec.reward->id == rewardId && !result.score.empty();
+    const bool scored = item.spec.reward && jobs::scoreKey(item.spec) == scoreKey && !result.score.empty();
     telemetry::log(Level::Info, "item", "result_reused",
-                   {telemetry::requestId(result.id), {"job", spec_.id}, {"scored", scored}});
+                   {telemetry::requestId(item.spec.id), {"job", spec_.id}, {"scored", scored}});
     if (scored) {
         item.score = result.score;
         finishItem(*index, ResultState::Completed);
--- a/src/jobs/jobrunner.h
+++ b/src/jobs/jobrunner.h
@@ -57,10 +57,10 @@
     void fence();
     /// Resumes storing: this node was found to still own the job.
     void confirmOwnership();
-    /// Takes over text or a whole result of an item with the same id from another job, if its weight versions allow it.
-    /// A score is taken only if it belongs to the item's reward call.
-    void reuseText(const std::string &itemId, const ItemText &text);
-    void reuseResult(const ItemResult &result, std::string_view rewardId);
+    /// Takes over text or a whole result of an item with the same text key from another job, if its weight versions
+    /// allow it. A score is taken only if `scoreKey` is that of the item's reward call.
+    void reuseText(const std::string &textKey, const ItemText &text);
+    void reuseResult(const std::string &textKey, const ItemResult &result, std::string_view scoreKey);
 
 private:
     void startAttempt(std::size_t index, serving::Replica &replica);
--- a/src/jobs/jobservice.cpp
+++ b/src/jobs/jobservice.cpp
@@ -95,6 +95,7 @@
     record.submission = randomHex(8);
     record.submittedMs = absl::ToUnixMillis(absl::Now());
     record.total = spec.items.size();
+    assignTextKeys(spec);
     submission->spec = std::move(spec);
     submissions_[record.id] = submission;
     if (place == SubmitAt::ThisNode || !forward(submission)) {
@@ -196,10 +197,10 @@
         finishPart();
     }
     record.parts = submission->parts.size();
-    const Json ids = itemIds(spec);
-    submission->texts.push_back(textsFor(ids));
+    const Json keys = textKeys(spec);
+    submission->texts.push_back(textsFor(keys));
     requestTexts(
-        ids,
+        keys,
         [this, submission](const Json &texts) {
             if (submissions_.contains(submission->record.id)) {
                 submission->texts.push_back(texts);
@@ -380,16 +381,16 @@
 
 // Text from earlier jobs
 
-Json JobService::itemIds(const JobSpec &spec)
+Json JobService::textKeys(const JobSpec &spec)
 {
-    Json ids = Json::array();
+    Json keys = Json::array();
     for (const ItemSpec &item : spec.items) {
-        ids.push_back(item.id);
+        keys.push_back(item.textKey);
     }
-    return ids;
+    return keys;
 }
 
-void JobService::requestTexts(const Json &ids, const std::function<void(const Json &)> &onTexts,
+void JobService::requestTexts(const Json &keys, const std::function<void(const Json &)> &onTexts,
                               const std::function<void()> &onAll)
 {
     // A node that is stopping has the texts of the jobs that it released.
@@ -400,7 +401,7 @@
     }
     const auto unanswered = std::make_shared<std::size_t>(nodes.size());
     for (const std::string &node : nodes) {
-        context_.peers.call(node, TextsMethod, {{"ids", ids}}, context_.settings.textTimeout,
+        context_.peers.call(node, TextsMethod, {{"keys", keys}}, context_.settings.textTimeout,
                             [onTexts, onAll, unanswered](const absl::StatusOr<Json> &texts) {
                                 if (texts.ok() && !texts->empty()) {
                                     onTexts(*texts);
@@ -412,44 +413,43 @@
     }
 }
 
-Json JobService::textsFor(const Json &ids) const
+Json JobService::textsFor(const Json &keys) const
 {
     Json texts = Json::object();
-    if (!ids.is_array()) {
+    if (!keys.is_array()) {
         return texts;
     }
     for (const auto *jobs : {&owned_, &formerlyOwned_}) {
         for (const auto &[jobId, owned] : *jobs) {
             if (owned->runner->isStopped()) {
-                addTexts(*owned->runner, ids, texts);
+                addTexts(*owned->runner, keys, texts);
             }
         }
     }
     return texts;
 }
 
-void JobService::addTexts(JobRunner &runner, const Json &ids, Json &texts)
+void JobService::addTexts(JobRunner &runner, const Json &keys, Json &texts)
 {
-    for (const Json &id : ids) {
-        const std::string name = id.is_string() ? id.get<std::string>() : std::string();
-        const auto index = runner.tracker().find(name);
+    for (const Json &entry : keys) {
+        const std::string key = entry.is_string() ? entry.get<std::string>() : std::string();
+        const auto index = runner.tracker().findByTextKey(key);
         if (!index) {
             continue;
         }
         const Item &item = runner.tracker().items()[*index];
-        const std::string rewardId = item.spec.reward ? item.spec.reward->id : std::string();
         if (item.state == ItemState::Stored) {
             for (const ItemResult &result : runner.log().results()) {
-                if (result.id == name && result.state == ResultState::Completed) {
-                    texts[name] = {{"result", toJson(result)}, {"reward", rewardId}};
+                if (result.id == item.spec.id && result.state == ResultState::Completed) {
+                    texts[key] = {{"result", toJson(result)}, {"score_key", scoreKey(item.spec)}};
                 }
             }
         } else if (item.state == ItemState::Finished && !item.text.empty()) {
-            const ItemResult result{name, ResultState::Completed, item.text.joinEvents(), item.text.versions,
+            const ItemResult result{item.spec.id, ResultState::Completed, item.text.joinEvents(), item.text.versions,
                                     item.score};
-            texts[name] = {{"result", toJson(result)}, {"reward", rewardId}};
+            texts[key] = {{"result", toJson(result)}, {"score_key", scoreKey(item.spec)}};
         } else if (!item.text.empty()) {
-            texts[name] = {{"text", toJson(item.text)}};
+            texts[key] = {{"text", toJson(item.text)}};
         }
     }
 }
@@ -461,14 +461,14 @@
         return;
     }
     JobRunner &runner = *found->second->runner;
-    for (const auto &[id, entry] : texts.items()) {
+    for (const auto &[key, entry] : texts.items()) {
         if (entry.contains("result")) {
             if (const auto result = parseItemResult(entry["result"])) {
-                runner.reuseResult(*result, fieldOr<std::string>(entry, "reward", ""));
+                runner.reuseResult(key, *result, fieldOr<std::string>(entry, "score_key", ""));
             }
         } else if (entry.contains("text")) {
             if (const auto text = parseItemText(entry["text"])) {
-                runner.reuseText(id, *text);
+                runner.reuseText(key, *text);
             }
         }
     }
--- a/src/jobs/jobservice.h
+++ b/src/jobs/jobservice.h
@@ -142,13 +142,14 @@
     void checkOwnership(const std::string &jobId);
     /// Stops running a job that another node took over and answers its pending reads.
     void loseOwnership(const std::string &jobId);
-    static Json itemIds(const JobSpec &spec);
+    static Json textKeys(const JobSpec &spec);
     /// Asks peers, stopping ones included, for text that was generated for these items. Calls `onTexts` for each answer
     /// that contains text, and `onAll` once every peer has answered or timed out; that may be within the call.
-    void requestTexts(const Json &ids, const std::function<void(const Json &)> &onTexts,
+    void requestTexts(const Json &keys, const std::function<void(const Json &)> &onTexts,
                       const std::function<void()> &onAll);
-    Json textsFor(const Json &ids) const;
-    static void addTexts(JobRunner &runner, const Json &ids, Json &texts);
+    /// Returns the texts of stopped jobs here for these text keys, by key.
+    Json textsFor(const Json &keys) const;
+    static void addTexts(JobRunner &runner, const Json &keys, Json &texts);
     void applyTexts(const std::string &jobId, const Json &texts);
 
     using RecordCallback = std::function<void(ReadOutcome, const CachedRecord *)>;
--- a/src/jobs/jobtakeover.cpp
+++ b/src/jobs/jobtakeover.cpp
@@ -219,7 +219,7 @@
         scanOrphanedJobs();
         reply(Json::object());
     } else if (method == TextsMethod) {
-        reply(textsFor(fieldOrNull(body, "ids")));
+        reply(textsFor(fieldOrNull(body, "keys")));
     } else {
         return false;
     }
@@ -369,11 +369,12 @@
                 retryLater();
                 return;
             }
-            loadParts(claimed, [this, claimed, claimedRevision, log, retryLater](bool loaded, const JobSpec &spec) {
+            loadParts(claimed, [this, claimed, claimedRevision, log, retryLater](bool loaded, JobSpec spec) {
                 if (!loaded) {
                     retryLater();
                     return;
                 }
+                assignTextKeys(spec);
                 takingOver_.erase(claimed.id);
                 addOwnedJob(claimed, claimedRevision, spec, std::move(*log));
                 const std::shared_ptr<JobRunner> runner = owned_[claimed.id]->runner;
@@ -381,7 +382,7 @@
                 // Items that are sent before the texts arrive are generated again from the start.
                 runner->holdItems(context_.settings.textTimeout);
                 requestTexts(
-                    itemIds(spec), [this, id = claimed.id](const Json &texts) { applyTexts(id, texts); },
+                    textKeys(spec), [this, id = claimed.id](const Json &texts) { applyTexts(id, texts); },
                     [runner] { runner->releaseItems(); });
             });
         });
--- a/tests/jobs/jobservicetest.cpp
+++ b/tests/jobs/jobservicetest.cpp
@@ -353,6 +353,63 @@
           == FakeReplicas::textOf(cluster.read("b", "two").second.results.at(0).id, 40));
 }
 
+// Guards against text of another request: clients choose the ids of items, so two workspaces, or two jobs of one
+// workspace, may use the same ids for different prompts.
+TEST_CASE("text is reused only for an item that is the same in everything that determines it")
+{
+    const std::string node = GENERATE("a", "b");
+    JobCluster cluster({"a", "b"});
+    cluster.replicas.eventsPerItem = 40;
+    cluster.replicas.eventGap = absl::Milliseconds(10);
+    REQUIRE(cluster.submit("a", JobCluster::spec("one", 2)) == SubmitOutcome::Accepted);
+    runFor(cluster.loop, std::chrono::milliseconds(150));
+    REQUIRE(cluster.end("a", "one") == ReadOutcome::Found);
+    jobs::JobSpec other = JobCluster::spec("one", 2);
+    other.id = "two";
+    SECTION("another workspace")
+    {
+        other.workspace = "v";
+    }
+    SECTION("another model")
+    {
+        other.model = "other model";
+        for (const char *node : {"a", "b"}) {
+            for (const char *replica : {"r1", "r2"}) {
+                cluster.tableOf(node).find(replica)->entry.weightVersions["other model"] = 1;
+            }
+        }
+    }
+    SECTION("another host")
+    {
+        cluster.config.routes.front().host = "other.example";
+        other.host = "other.example";
+    }
+    for (jobs::ItemSpec &item : other.items) {
+        SECTION("another path: " + item.id)
+        {
+            item.path += "0";
+        }
+        SECTION("another body: " + item.id)
+        {
+            item.body += " in other words";
+        }
+        SECTION("another header field: " + item.id)
+        {
+            item.headers.add("X-Temperature", "0");
+        }
+    }
+    const std::size_t sent = cluster.replicas.receivedRequests.size();
+    REQUIRE(cluster.submit(node, other) == SubmitOutcome::Accepted);
+    runFor(cluster.loop, std::chrono::milliseconds(100));
+    REQUIRE(cluster.replicas.receivedRequests.size() == sent + 2);
+    const auto resumed = std::count_if(cluster.replicas.receivedRequests.begin() + static_cast<std::ptrdiff_t>(sent),
+                                       cluster.replicas.receivedRequests.end(),
+                                       [](const auto &arrival) { return arrival.resumeAfter.has_value(); });
+    // Where a single item differs, the text of the other one is still used.
+    const bool jobDiffers = other.workspace != "w" || other.model != "model" || other.host != "host.example";
+    CHECK(resumed == (jobDiffers ? 0 : 1));
+}
+
 // Guards against one workspace reading or ending another workspace's jobs.
 TEST_CASE("a job of another workspace is not found")
 {
