--- a/src/jobs/jobservice.cpp
+++ b/src/jobs/jobservice.cpp
@@ -331,6 +331,9 @@
     owned_[record.id] = std::move(owned);
     cachedRecords_.erase(record.id);
     cachedLogs_.erase(record.id);
+    if (endedJobs_.contains(record.id)) {
+        markEnded(record.id);
+    }
 }
 
 void JobService::checkOwnership(const std::string &jobId)
@@ -347,6 +350,9 @@
             }
             return;
         }
+        if (cached->revision < owned->second->revision) {
+            return; // Read before this node became the owner.
+        }
         if (!isOwnedHere(cached->record)) {
             loseOwnership(jobId);
             return;
@@ -544,6 +550,7 @@
 {
     absl::erase_if(orphanedSince_,
                    [this, now](const auto &entry) { return now - entry.second > context_.settings.retention; });
+    absl::erase_if(endedJobs_, [now](const auto &entry) { return entry.second <= now; });
     absl::erase_if(cachedRecords_, [now](const auto &entry) { return entry.second.expiresAt <= now; });
     absl::erase_if(formerlyOwned_, [now](const auto &entry) { return entry.second->expiresAt <= now; });
     absl::erase_if(cachedLogs_, [now](const auto &entry) { return entry.second.expiresAt <= now; });
--- a/src/jobs/jobservice.h
+++ b/src/jobs/jobservice.h
@@ -137,6 +137,8 @@
     void onRecordReply(const std::shared_ptr<Submission> &submission, const objects::StoreReply &reply);
     void resolveRecordConflict(const std::shared_ptr<Submission> &submission);
     void finishSubmission(const std::shared_ptr<Submission> &submission, SubmitOutcome outcome);
+    /// Begins to run a job that the store names this node as the owner of. A job whose end is known here is added
+    /// stopped.
     void addOwnedJob(const JobRecord &record, std::uint64_t revision, JobSpec spec, ResultLog log);
     /// Reads the job's record from the store and stops the job here if another node owns it or it has ended.
     void checkOwnership(const std::string &jobId);
@@ -178,7 +180,11 @@
     /// Nodes that may take over the jobs of a lost owner, best first, by the view of this node. Not empty.
     std::vector<std::string> successorsOf(const std::string &owner) const;
     std::vector<JobHost> jobHosts() const; ///< This node and its live peers.
+    /// Loads the job, and claims it last: an end that is stored meanwhile changes the record, so that the claim fails.
     void takeOver(const JobRecord &record, std::uint64_t revision);
+    /// Makes this node the owner unless the record has changed since `revision`, and runs the job.
+    void claim(const JobRecord &record, std::uint64_t revision, JobSpec spec, const std::shared_ptr<ResultLog> &log,
+               const std::function<void()> &onFailure);
     void removeExpired(Instant now);
     Instant expiryTime(std::int64_t submittedMs) const;
     /// Returns true if this incarnation of the node owns the job.
@@ -194,6 +200,9 @@
     absl::flat_hash_map<std::string, CachedLog> cachedLogs_;
     absl::flat_hash_map<std::string, std::shared_ptr<Submission>> submissions_; ///< In progress.
     absl::flat_hash_set<std::string> takingOver_;
+    /// Jobs known to have ended, with the time at which that is forgotten. The notice of an end may come before the
+    /// store's answer that makes this node the owner.
+    absl::flat_hash_map<std::string, Instant> endedJobs_;
     absl::flat_hash_map<std::string, Instant> orphanedSince_; ///< Orphaned jobs of other successors, when first seen.
     Instant lastRecheck_;
     bool scanning_ = false;
--- a/src/jobs/jobtakeover.cpp
+++ b/src/jobs/jobtakeover.cpp
@@ -141,6 +141,7 @@
 
 void JobService::markEnded(const std::string &jobId)
 {
+    endedJobs_[jobId] = net::loopNow() + context_.settings.retention;
     if (const auto owned = owned_.find(jobId); owned != owned_.end()) {
         owned->second->record.ended = true;
         owned->second->runner->stop("ended");
@@ -333,62 +334,62 @@
 
 void JobService::takeOver(const JobRecord &record, std::uint64_t revision)
 {
-    if (takingOver_.contains(record.id)) {
+    if (!takingOver_.insert(record.id).second) {
         return;
     }
-    takingOver_.insert(record.id);
-    JobRecord claimed = record;
-    claimed.owner = context_.node;
-    claimed.ownerIncarnation = context_.incarnation;
     telemetry::log(Level::Info, "job", "taking_over", {{"job", record.id}, {"owner", record.owner}});
-    context_.store.replace(RecordKind, record.id, revision, toJson(claimed), [this, claimed](const StoreReply &reply) {
-        if (reply.outcome != StoreOutcome::Done || reply.changes.empty()) {
-            takingOver_.erase(claimed.id);
-            net::runAfter(context_.loop, context_.settings.storeRetryDelay, [this] { scanOrphanedJobs(); });
+    const auto scanLater = [this, id = record.id] {
+        takingOver_.erase(id);
+        net::runAfter(context_.loop, context_.settings.storeRetryDelay, [this] { scanOrphanedJobs(); });
+    };
+    const auto log = std::make_shared<ResultLog>();
+    loadLog(record.id, log, [this, record, revision, log, scanLater](bool logLoaded) {
+        if (!logLoaded) {
+            scanLater();
             return;
         }
-        for (const std::string &node : context_.peers.live()) {
-            context_.peers.call(node, TakenOverMethod, {{"job", claimed.id}}, context_.settings.peerTimeout,
-                                [](const absl::StatusOr<Json> &) {});
-        }
-        const std::uint64_t claimedRevision = reply.changes.front().object.revision;
-        const auto log = std::make_shared<ResultLog>();
-        const auto retryLater = [this, claimed] {
-            // The record names this node as the owner, so no other node takes the job over. Load the job again.
-            takingOver_.erase(claimed.id);
-            net::runAfter(context_.loop, context_.settings.storeRetryDelay, [this, claimed] {
-                loadRecord(claimed.id, true, [this](ReadOutcome, const CachedRecord *cached) {
-                    if (cached != nullptr && !cached->record.ended) {
-                        takeOver(cached->record, cached->revision);
-                    }
-                });
-            });
-        };
-        loadLog(claimed.id, log, [this, claimed, claimedRevision, log, retryLater](bool logLoaded) {
-            if (!logLoaded) {
-                retryLater();
+        loadParts(record, [this, record, revision, log, scanLater](bool loaded, JobSpec spec) {
+            if (!loaded) {
+                scanLater();
                 return;
             }
-            loadParts(claimed, [this, claimed, claimedRevision, log, retryLater](bool loaded, JobSpec spec) {
-                if (!loaded) {
-                    retryLater();
-                    return;
-                }
-                assignTextKeys(spec);
-                takingOver_.erase(claimed.id);
-                addOwnedJob(claimed, claimedRevision, spec, std::move(*log));
-                const std::shared_ptr<JobRunner> runner = owned_[claimed.id]->runner;
-                runner->fence();
-                // Items that are sent before the texts arrive are generated again from the start.
-                runner->holdItems(context_.settings.textTimeout);
-                requestTexts(
-                    textKeys(spec), [this, id = claimed.id](const Json &texts) { applyTexts(id, texts); },
-                    [runner] { runner->releaseItems(); });
-            });
+            claim(record, revision, std::move(spec), log, scanLater);
         });
     });
 }
 
+void JobService::claim(const JobRecord &record, std::uint64_t revision, JobSpec spec,
+                       const std::shared_ptr<ResultLog> &log, const std::function<void()> &onFailure)
+{
+    JobRecord claimed = record;
+    claimed.owner = context_.node;
+    claimed.ownerIncarnation = context_.incarnation;
+    assignTextKeys(spec);
+    const auto loaded = std::make_shared<JobSpec>(std::move(spec));
+    context_.store.replace(
+        RecordKind, record.id, revision, toJson(claimed),
+        [this, claimed, loaded, log, onFailure](const StoreReply &reply) {
+            if (reply.outcome != StoreOutcome::Done || reply.changes.empty()) {
+                onFailure();
+                return;
+            }
+            takingOver_.erase(claimed.id);
+            for (const std::string &node : context_.peers.live()) {
+                context_.peers.call(node, TakenOverMethod, {{"job", claimed.id}}, context_.settings.peerTimeout,
+                                    [](const absl::StatusOr<Json> &) {});
+            }
+            const Json keys = textKeys(*loaded);
+            addOwnedJob(claimed, reply.changes.front().object.revision, std::move(*loaded), std::move(*log));
+            const std::shared_ptr<JobRunner> runner = owned_[claimed.id]->runner;
+            runner->fence();
+            // Items that are sent before the texts arrive are generated again from the start.
+            runner->holdItems(context_.settings.textTimeout);
+            requestTexts(
+                keys, [this, id = claimed.id](const Json &texts) { applyTexts(id, texts); },
+                [runner] { runner->releaseItems(); });
+        });
+}
+
 void JobService::releaseJobs()
 {
     released_ = true;
--- a/tests/jobs/jobservicetest.cpp
+++ b/tests/jobs/jobservicetest.cpp
@@ -6,6 +6,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <utility>
 
 using namespace currantlug;
 using namespace currantlug::tests;
@@ -270,6 +271,92 @@
     CHECK(cluster.at("b").openJobCount() == 0);
 }
 
+// Guards against jobs that run on after their end was confirmed: the successor loaded the items, another node stored
+// the end meanwhile, and the successor then ran the job from the record that it had read before.
+TEST_CASE("an end that is stored while another node loads the job is not forgotten")
+{
+    JobCluster cluster({"a", "b", "c"});
+    cluster.replicas.eventGap = absl::Milliseconds(200);
+    jobs::JobSpec spec = JobCluster::spec("job", 8);
+    for (jobs::ItemSpec &item : spec.items) {
+        item.body =
+            std::string(700'000, 'x'); // Each item is an object of its own, so that the load takes several calls.
+    }
+    REQUIRE(cluster.submit("a", spec) == SubmitOutcome::Accepted);
+    cluster.kill("a");
+    std::optional<ReadOutcome> outcome;
+    const std::string loaded = GENERATE("job-items", "results-job");
+    bool ended = false;
+    cluster.store.setFault([&](const std::string &, const std::string &kind, const std::string &) {
+        if (kind == loaded && !std::exchange(ended, true)) {
+            cluster.at("c").endJob("job", "w", [&outcome](ReadOutcome result) { outcome = result; });
+        }
+        return StoreOutcome::Done;
+    });
+    cluster.at("b").scanOrphanedJobs();
+    REQUIRE(runUntil(cluster.loop, [&outcome] { return outcome.has_value(); }));
+    CHECK(*outcome == ReadOutcome::Found);
+    const std::size_t sent = cluster.replicas.receivedRequests.size();
+    runFor(cluster.loop, std::chrono::milliseconds(600));
+    CHECK(cluster.replicas.receivedRequests.size() == sent);
+    CHECK(cluster.at("b").openJobCount() == 0);
+}
+
+// Guards against jobs that run on because the notice of their end overtook the store's answer that made the node their
+// owner.
+TEST_CASE("an end that is announced before the store confirms the ownership is not forgotten")
+{
+    JobCluster cluster({"a", "b"});
+    cluster.replicas.eventGap = absl::Milliseconds(200);
+    bool announced = false;
+    const auto announceEndAt = [&](const std::string &op) {
+        cluster.store.setFault([&, op](const std::string &called, const std::string &kind, const std::string &) {
+            if (called == op && kind == "jobs" && !std::exchange(announced, true)) {
+                cluster.at("b").handlePeerCall("job/ended", {{"job", "job"}}, [](const Json &) {});
+            }
+            return StoreOutcome::Done;
+        });
+    };
+    std::size_t sent = 0;
+    SECTION("in a submission")
+    {
+        announceEndAt("create");
+        REQUIRE(cluster.submit("b", JobCluster::spec("job", 8)) == SubmitOutcome::Accepted);
+    }
+    SECTION("in a takeover")
+    {
+        REQUIRE(cluster.submit("a", JobCluster::spec("job", 8)) == SubmitOutcome::Accepted);
+        cluster.kill("a");
+        sent = cluster.replicas.receivedRequests.size();
+        announceEndAt("replace");
+        cluster.at("b").scanOrphanedJobs();
+        REQUIRE(runUntil(cluster.loop, [&cluster] { return cluster.store.value("jobs", "job")["owner"] == "b"; }));
+    }
+    runFor(cluster.loop, std::chrono::milliseconds(600));
+    CHECK(cluster.replicas.receivedRequests.size() == sent);
+    CHECK(cluster.at("b").openJobCount() == 0);
+}
+
+// Guards against a job that no node runs: a read of the record that was begun before a takeover came back after it and
+// named the former owner.
+TEST_CASE("a record that was read before a takeover doesn't end the ownership")
+{
+    JobCluster cluster({"a", "b"});
+    cluster.replicas.eventGap = absl::Milliseconds(20);
+    REQUIRE(cluster.submit("a", JobCluster::spec("job", 4)) == SubmitOutcome::Accepted);
+    cluster.kill("a");
+    bool asked = false;
+    cluster.store.setFault([&](const std::string &op, const std::string &kind, const std::string &) {
+        if (op == "replace" && kind == "jobs" && !std::exchange(asked, true)) {
+            // The answer to this read comes right after the one to the claim.
+            cluster.at("b").handlePeerCall("job/taken", {{"job", "job"}}, [](const Json &) {});
+        }
+        return StoreOutcome::Done;
+    });
+    cluster.at("b").scanOrphanedJobs();
+    CHECK(cluster.waitForResults("b", "job", 4));
+}
+
 // Guards against items that still run after the end of their job was stored by a node that can't reach the owner.
 TEST_CASE("a partitioned owner finds the end in the store")
 {
