--- a/src/jobs/job.cpp
+++ b/src/jobs/job.cpp
@@ -50,6 +50,28 @@
     }
 }
 
+std::string_view unsendablePart(const ItemSpec &item)
+{
+    if (!net::isFieldValue(item.id)) {
+        return "id";
+    }
+    if (!net::isRequestTarget(item.path)) {
+        return "path";
+    }
+    const auto &fields = item.headers.fields();
+    if (!std::all_of(fields.begin(), fields.end(), [](const net::Header &field) {
+            return net::isToken(field.name) && net::isFieldValue(field.value);
+        })) {
+        return "header field";
+    }
+    if (item.reward
+        && (!net::isFieldValue(item.reward->id) || !net::isFieldValue(item.reward->host)
+            || !net::isRequestTarget(item.reward->path))) {
+        return "reward call";
+    }
+    return {};
+}
+
 std::string scoreKey(const ItemSpec &item)
 {
     if (!item.reward) {
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace currantlug::jobs {
@@ -148,6 +149,10 @@
 /// Digest of a whole reward call; empty without one. A score belongs to one such call.
 std::string scoreKey(const ItemSpec &item);
 
+/// Names the part of the item that can't be written into a request, such as a path with a line break; empty if it can
+/// be sent. Items come from clients, peers and the store.
+std::string_view unsendablePart(const ItemSpec &item);
+
 Json toJson(const JobRecord &record);
 std::optional<JobRecord> parseJobRecord(std::string_view id, const Json &value);
 Json toJson(const ItemSpec &item);
--- a/src/jobs/jobrunner.cpp
+++ b/src/jobs/jobrunner.cpp
@@ -60,6 +60,19 @@
     return singleVersion() && !item.text.empty() && item.text.versions.front() != version;
 }
 
+void JobRunner::abandonUnsendableItems()
+{
+    for (std::size_t index = 0; index < tracker_.items().size(); ++index) {
+        const Item &item = tracker_.items()[index];
+        const std::string_view part = unsendablePart(item.spec);
+        if (item.state == ItemState::Waiting && !part.empty()) {
+            telemetry::log(Level::Warning, "item", "unsendable",
+                           {telemetry::requestId(item.spec.id), {"job", spec_.id}, {"part", part}});
+            finishItem(index, ResultState::Abandoned);
+        }
+    }
+}
+
 void JobRunner::holdItems(absl::Duration duration)
 {
     heldUntil_ = net::loopNow() + duration;
--- a/src/jobs/jobrunner.h
+++ b/src/jobs/jobrunner.h
@@ -39,6 +39,8 @@
     /// True while this runner still has items to run or results to store.
     bool isOpen() const { return !stopped_ && !isComplete(); }
 
+    /// Abandons the items that no replica can be sent. Call once, before items are sent.
+    void abandonUnsendableItems();
     /// Sends no item before releaseItems() is called or this time has passed.
     void holdItems(absl::Duration duration);
     void releaseItems();
--- a/src/jobs/jobservice.cpp
+++ b/src/jobs/jobservice.cpp
@@ -333,6 +333,8 @@
     cachedLogs_.erase(record.id);
     if (endedJobs_.contains(record.id)) {
         markEnded(record.id);
+    } else {
+        owned_[record.id]->runner->abandonUnsendableItems();
     }
 }
 
--- a/src/net/clientconnection.cpp
+++ b/src/net/clientconnection.cpp
@@ -52,8 +52,17 @@
     sent_ = false;
     headRequest_ = request.method == "HEAD";
     informationalCount_ = 0;
-    output_ = encodeRequest(request);
     resetParser();
+    auto encoded = encodeRequest(request);
+    if (!encoded.ok()) {
+        boost::asio::post(client_->loop_, [self = shared_from_this(), id, status = encoded.status()] {
+            if (self->id_ == id) {
+                self->fail(status.code(), errorContext(status).step, std::string(status.message()));
+            }
+        });
+        return;
+    }
+    output_ = *std::move(encoded);
     connectUntil_ = now + limits.connect;
     totalUntil_ = now + limits.total;
     silenceUntil_ = now + limits.silence;
--- a/src/net/httpmessage.cpp
+++ b/src/net/httpmessage.cpp
@@ -1,11 +1,15 @@
 // Serialization of HTTP heads and access to queries.
 #include "net/httpmessage.h"
 
+#include "core/error.h"
+
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_split.h>
 #include <boost/beast/http/status.hpp>
 #include <fmt/format.h>
 
+#include <algorithm>
+#include <cctype>
 #include <iterator>
 
 namespace currantlug::net {
@@ -37,10 +41,65 @@
     return out;
 }
 
+bool isControl(char c)
+{
+    return static_cast<unsigned char>(c) < 0x20 || c == 0x7F;
+}
+
+absl::Status invalidRequest(std::string_view message)
+{
+    return makeError(absl::StatusCode::kInvalidArgument, Step::Send, "", Outcome::NotRun, message);
+}
+
+absl::Status checkRequest(const HttpRequest &request)
+{
+    if (!isToken(request.method)) {
+        return invalidRequest("the method is not a token");
+    }
+    if (!isRequestTarget(request.target)) {
+        return invalidRequest("the target is not a path");
+    }
+    int hosts = 0;
+    for (const Header &field : request.headers.fields()) {
+        if (!isToken(field.name) || !isFieldValue(field.value)) {
+            return invalidRequest("a header field has characters that are not allowed");
+        }
+        // The encoder alone frames the message.
+        if (absl::EqualsIgnoreCase(field.name, "Content-Length")
+            || absl::EqualsIgnoreCase(field.name, "Transfer-Encoding")) {
+            return invalidRequest("a header field states the length of the body");
+        }
+        hosts += static_cast<int>(absl::EqualsIgnoreCase(field.name, "Host"));
+    }
+    return hosts == 1 ? absl::OkStatus() : invalidRequest("the host is not stated once");
+}
+
 } // namespace
 
-std::string encodeRequest(const HttpRequest &request)
+bool isToken(std::string_view text)
+{
+    constexpr std::string_view Marks = "!#$%&'*+-.^_`|~";
+    return !text.empty() && std::all_of(text.begin(), text.end(), [Marks](char c) {
+        return std::isalnum(static_cast<unsigned char>(c)) != 0 || Marks.find(c) != std::string_view::npos;
+    });
+}
+
+bool isFieldValue(std::string_view text)
+{
+    return std::none_of(text.begin(), text.end(), [](char c) { return isControl(c) && c != '\t'; });
+}
+
+bool isRequestTarget(std::string_view text)
+{
+    return !text.empty() && text.front() == '/'
+        && std::none_of(text.begin(), text.end(), [](char c) { return isControl(c) || c == ' '; });
+}
+
+absl::StatusOr<std::string> encodeRequest(const HttpRequest &request)
 {
+    if (absl::Status status = checkRequest(request); !status.ok()) {
+        return status;
+    }
     std::string out = fmt::format("{} {} HTTP/1.1\r\n", request.method, request.target);
     out.reserve(out.size() + request.body.size() + 512);
     appendFields(out, request.headers);
--- a/src/net/httpmessage.h
+++ b/src/net/httpmessage.h
@@ -2,6 +2,7 @@
 #ifndef CURRANTLUG_NET_HTTPMESSAGE_H
 #define CURRANTLUG_NET_HTTPMESSAGE_H
 
+#include <absl/status/statusor.h>
 #include <absl/strings/match.h>
 
 #include <optional>
@@ -63,8 +64,17 @@
     std::string body;
 };
 
-/// Serializes a request with its length. `Host` must be among the headers.
-std::string encodeRequest(const HttpRequest &request);
+/// True for a method or the name of a field (RFC 9110, "token").
+bool isToken(std::string_view text);
+/// True for the value of a field: visible characters, spaces, tabs and bytes above 0x7F. The empty value is one.
+bool isFieldValue(std::string_view text);
+/// True for a path with an optional query that can be sent as it is: it starts with a slash and has no spaces and no
+/// control characters.
+bool isRequestTarget(std::string_view text);
+
+/// Serializes a request with its length. `Host` must be among the headers, once. kInvalidArgument if a part of the
+/// request isn't valid at its place, so that nothing can be sent that the peer takes for more than this request.
+absl::StatusOr<std::string> encodeRequest(const HttpRequest &request);
 
 /// Serializes the status line and the fields, without the blank line that ends them.
 std::string encodeResponseHead(int status, const Headers &headers);
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -436,6 +436,15 @@
         serving::rejectRequest(sink, 400, std::string(spec.status().message()), absl::ZeroDuration());
         return;
     }
+    for (const jobs::ItemSpec &item : spec->items) {
+        if (!config_->isRolloutPath(spec->host, net::pathOf(item.path))) {
+            telemetry::log(Level::Warning, "job", "foreign_path",
+                           {telemetry::requestId(request.id), {"item", item.id}, {"path", item.path}});
+            serving::rejectRequest(sink, 400, "the path of item " + item.id + " is on no route for jobs",
+                                   absl::ZeroDuration());
+            return;
+        }
+    }
     if (!configCurrent()) {
         refuseTemporarily(request, sink, "the object store can't be reached");
         return;
--- a/src/serving/gatewayconfig.cpp
+++ b/src/serving/gatewayconfig.cpp
@@ -21,6 +21,12 @@
     return best;
 }
 
+bool GatewayConfig::isRolloutPath(std::string_view host, std::string_view path) const
+{
+    const Route *route = findRoute(host, path);
+    return route != nullptr && route->kind == RouteKind::Rollout;
+}
+
 const Workspace *GatewayConfig::findWorkspaceByKey(std::string_view key) const
 {
     const auto found = workspaceByKey.find(std::string(key));
--- a/tests/adapter/codectest.cpp
+++ b/tests/adapter/codectest.cpp
@@ -149,6 +149,9 @@
     CHECK(scored->items[0].reward->body == "\xde\xad\xbe\xef");
     CHECK_FALSE(spec->items[0].reward);
     bad.insert({
+        {"header with a control character",
+         "{\"items\":[{\"id\":\"i\",\"path\":\"/p\",\"body\":\"\",\"headers\":{\"A\":\"x\\u0000y\"}}]}"},
+        {"header without a name", R"({"items":[{"id":"i","path":"/p","body":"","headers":{"":"x"}}]})"},
         {"scorer is no table", withScorer("7")},
         {"scorer without id", withScorer(R"({"host":"d","path":"/s","body":""})")},
         {"scorer without host", withScorer(R"({"id":"c","path":"/s","body":""})")},
@@ -212,7 +215,9 @@
     outbound.resumeAfter = 4;
     serving::Replica replica;
     replica.entry.id = "i-1";
-    const std::string bytes = net::encodeRequest(encodeForReplica(replica, outbound));
+    const auto encoded = net::encodeRequest(encodeForReplica(replica, outbound));
+    REQUIRE(encoded.ok());
+    const std::string &bytes = *encoded;
     CHECK(bytes.find("secret-key") == std::string::npos);
     CHECK(bytes.find("forged") == std::string::npos);
     CHECK(bytes.find("X-Hop") == std::string::npos);
@@ -224,6 +229,52 @@
     }
 }
 
+// Guards against items that run as another workspace or with the client's key: the header fields of items were passed
+// on without the rule that other requests follow.
+TEST_CASE("an item's header fields don't replace those that the replica trusts")
+{
+    serving::OutboundRequest outbound;
+    outbound.id = "item";
+    outbound.method = "POST";
+    outbound.target = "/x/1";
+    outbound.host = "h.example";
+    outbound.workspace = "t1";
+    for (const char *name : {"x-tenant", "Authorization", "X-Attempt-Id", "X-Deadline-Ms", "X-Expect-Instance",
+                             "Last-Event-ID", "host", "Connection", "Content-Length", "Transfer-Encoding", "TE"}) {
+        outbound.headers.add(name, "forged");
+    }
+    outbound.headers.add("X-Model", "m");
+    serving::Replica replica;
+    replica.entry.id = "i-1";
+    const net::HttpRequest request = encodeForReplica(replica, outbound);
+    std::map<std::string, std::string> fields;
+    for (const net::Header &field : request.headers.fields()) {
+        CHECK(fields.emplace(field.name, field.value).second);
+    }
+    CHECK(fields
+          == std::map<std::string, std::string>{{"Host", "h.example"},
+                                                {"X-Attempt-Id", "item"},
+                                                {"X-Expect-Instance", "i-1"},
+                                                {"X-Tenant", "t1"},
+                                                {"X-Model", "m"}});
+}
+
+// Guards against two jobs in one object of the store: bytes that are no text are replaced when they are stored.
+TEST_CASE("a job whose id is not visible text is refused")
+{
+    serving::InboundRequest request;
+    request.method = "POST";
+    request.host = "h.example";
+    request.target = "/y/lot";
+    request.body = R"({"items":[{"id":"i1","path":"/y/1","body":""}]})";
+    request.id = "lot-1";
+    CHECK(parseJob(request, "t1").ok());
+    for (const char *id : {"lot\xff", "lot\xc3\xa9", "lot 1", "lot\t"}) {
+        request.id = id;
+        CHECK(parseJob(request, "t1").status().code() == absl::StatusCode::kInvalidArgument);
+    }
+}
+
 // Guards against the answer to one request being given to another, and against a false "not run".
 TEST_CASE("the head of an answer says whose it is and whether the request ran")
 {
--- a/tests/jobs/jobservicetest.cpp
+++ b/tests/jobs/jobservicetest.cpp
@@ -337,6 +337,34 @@
     CHECK(cluster.at("b").openJobCount() == 0);
 }
 
+// Guards against items that can never be sent being tried for ever, and against requests inside their paths: such items
+// come from clients, and from the store where an earlier build accepted them.
+TEST_CASE("an item that can't be written into a request is abandoned at once and the others run")
+{
+    JobCluster cluster({"a", "b"});
+    jobs::JobSpec spec = JobCluster::spec("job", 6);
+    spec.items[1].path = "/batch/1 HTTP/1.1\r\nX-Tenant: other\r\n\r\nPOST /batch/1";
+    spec.items[2].id = "job-2\r\nX-Tenant: other";
+    spec.items[3].headers.add("X-A", "b\r\nX-Tenant: other");
+    spec.items[4].reward = jobs::RewardSpec{"reward", "desk.example", "/score/1\r\n", "score"};
+    if (GENERATE(false, true)) {
+        cluster.replicas.silent = {"r1", "r2"};
+        REQUIRE(cluster.submit("a", spec) == SubmitOutcome::Accepted);
+        cluster.kill("a");
+        cluster.replicas.silent.clear();
+        cluster.replicas.receivedRequests.clear();
+        cluster.at("b").scanOrphanedJobs();
+    } else {
+        REQUIRE(cluster.submit("b", spec) == SubmitOutcome::Accepted);
+    }
+    REQUIRE(cluster.waitForResults("b", "job", 6));
+    for (const jobs::ItemResult &result : cluster.read("b", "job").second.results) {
+        const bool sendable = result.id == "job-0" || result.id == "job-5";
+        CHECK(result.state == (sendable ? jobs::ResultState::Completed : jobs::ResultState::Abandoned));
+    }
+    CHECK(cluster.replicas.receivedRequests.size() == 2);
+}
+
 // Guards against a job that no node runs: a read of the record that was begun before a takeover came back after it and
 // named the former owner.
 TEST_CASE("a record that was read before a takeover doesn't end the ownership")
--- a/tests/net/httptest.cpp
+++ b/tests/net/httptest.cpp
@@ -1,4 +1,5 @@
 // Server and client over loopback: kept connections, odd answers, limits.
+#include "core/error.h"
 #include "net/httpclient.h"
 #include "net/httpserver.h"
 
@@ -255,6 +256,63 @@
     CHECK((*result)->headers.valueOr("Connection", "") == "close");
 }
 
+// Guards against requests inside requests: a path from a client's job had line breaks and was sent as it was, so that
+// the replica read a second request, with another workspace.
+TEST_CASE("a request that a peer would read as something else is not encoded")
+{
+    const auto valid = [] {
+        HttpRequest message = request("/a?b=c", "body");
+        message.headers.add("X-Text", "a b\tc\xff");
+        return message;
+    };
+    REQUIRE(encodeRequest(valid()).ok());
+    CHECK(encodeRequest(valid()).value()
+          == "POST /a?b=c HTTP/1.1\r\nHost: h\r\nX-Text: a b\tc\xff\r\nContent-Length: 4\r\n\r\nbody");
+    const std::vector<std::string_view> parts{"\r\n", "\n", "\r", " ", std::string_view("\0", 1), "\x7f", "\x1b"};
+    for (const std::string_view part : parts) {
+        HttpRequest message = valid();
+        message.target = "/a" + std::string(part) + "b";
+        CHECK_FALSE(encodeRequest(message).ok());
+        message = valid();
+        message.method = "GET" + std::string(part);
+        CHECK_FALSE(encodeRequest(message).ok());
+        message = valid();
+        message.headers.add("X-A" + std::string(part), "value");
+        CHECK_FALSE(encodeRequest(message).ok());
+        message = valid();
+        message.headers.add("X-A", "value" + std::string(part) + "X-B: c");
+        CHECK(encodeRequest(message).ok() == (part == " "));
+    }
+    for (const std::string_view target : {"", "a", "http://h/a", "*"}) {
+        HttpRequest message = valid();
+        message.target = target;
+        CHECK_FALSE(encodeRequest(message).ok());
+    }
+    for (const std::string_view name : {"", "Host", "content-length", "Transfer-Encoding", "X-A:"}) {
+        HttpRequest message = valid();
+        message.headers.add(name, "1");
+        CHECK_FALSE(encodeRequest(message).ok());
+    }
+    HttpRequest withoutHost;
+    withoutHost.method = "GET";
+    withoutHost.target = "/";
+    CHECK_FALSE(encodeRequest(withoutHost).ok());
+}
+
+// Guards against a client that sends such a request all the same, reports that it may have run, or is stuck afterwards.
+TEST_CASE("a call that can't be encoded ends as not run and nothing is sent")
+{
+    Loop loop;
+    HttpClient client(loop);
+    RawServer server(loop, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", true);
+    const auto refused = ask(loop, client, peerOf(server.port()), request("/a b"));
+    REQUIRE_FALSE(refused.ok());
+    CHECK(refused.status().code() == absl::StatusCode::kInvalidArgument);
+    CHECK(errorContext(refused.status()).outcome == Outcome::NotRun);
+    CHECK(server.connections == 0);
+    CHECK(ask(loop, client, peerOf(server.port()), request("/a")).ok());
+}
+
 TEST_CASE("queries are decoded")
 {
     CHECK(queryValue("/p?a=1&name=x%20y", "name") == "x y");
--- a/tests/serving/replicatabletest.cpp
+++ b/tests/serving/replicatabletest.cpp
@@ -234,6 +234,11 @@
     CHECK(config.findRoute("H.Example:8080", "/a/x")->name == "/a/");
     CHECK(config.findRoute("h.example", "/a") == nullptr);
     CHECK(config.findRoute("other.example", "/a/") == nullptr);
+    // Items of jobs are sent to routes for jobs only: another path may be a call that replicas trust.
+    config.routes.front().kind = RouteKind::Rollout;
+    CHECK(config.isRolloutPath("h.example", config.routes.front().pathPrefix + "x"));
+    CHECK_FALSE(config.isRolloutPath("h.example", "/api/order"));
+    CHECK_FALSE(config.isRolloutPath("other.example", config.routes.front().pathPrefix + "x"));
     int toY = 0;
     for (int i = 0; i < 1000; ++i) {
         toY += GatewayConfig::pickService(config.routes[0], std::to_string(i)) == "y" ? 1 : 0;
