--- a/src/jobs/itemtracker.h
+++ b/src/jobs/itemtracker.h
@@ -56,6 +56,7 @@
     Instant startedAt; ///< Running: start of the attempt.
     std::size_t attemptBytes = 0; ///< Running: length of the events of the attempt.
     bool headSeen = false; ///< Running: the replica has sent its response head.
+    Instant waitingSince; ///< Waiting: time at which a free replica was first looked for.
     Instant notBefore; ///< Waiting or Scoring: the item or its reward call is not sent before this time.
     int failures = 0; ///< Responses that count as failed attempts.
     int moves = 0; ///< Attempts that were cancelled to move the item off a slow replica.
--- a/src/jobs/jobcontext.h
+++ b/src/jobs/jobcontext.h
@@ -56,6 +56,9 @@
     absl::Duration eventTimeout = absl::Milliseconds(2500);
     absl::Duration connectTimeout = absl::Milliseconds(500);
     absl::Duration itemRetryDelay = absl::Milliseconds(100); ///< Delay before a failed item is sent again.
+    /// A waiting item is meant for the service that the weights of its route name. If that service has no room for this
+    /// time, the item may go to another service of the route.
+    absl::Duration serviceWait = absl::Seconds(2);
     absl::Duration minTimeBeforeMove = absl::Milliseconds(400); ///< Minimum age of an attempt on a slow replica.
     int maxMovesPerItem = 3;
     /// An attempt whose events exceed this length is given up: a faulty replica may send events without end. Texts have
--- a/src/jobs/jobrunner.cpp
+++ b/src/jobs/jobrunner.cpp
@@ -6,6 +6,7 @@
 #include <absl/time/clock.h>
 
 #include <algorithm>
+#include <set>
 
 namespace currantlug::jobs {
 
@@ -91,37 +92,67 @@
     if (stopped_ || route == nullptr || now < heldUntil_) {
         return;
     }
+    std::set<std::string> servicesWithoutRoom;
     for (const std::size_t index : tracker_.sendOrder(now)) {
+        if (servicesWithoutRoom.size() == route->services.size()) {
+            break;
+        }
         Item &item = tracker_.items()[index];
-        serving::ReplicaTable::ItemRequirements need;
-        need.service = serving::GatewayConfig::pickService(*route, item.spec.id);
-        need.model = spec_.model;
-        need.minVersion = spec_.minVersion;
-        need.plan = &context_.modelPlan();
-        if (const auto found = groupReplica_.find(item.spec.group); found != groupReplica_.end()) {
-            need.preferred = found->second;
+        if (item.waitingSince == Instant()) {
+            item.waitingSince = now;
         }
-        if (route->singleVersion && !item.text.empty()) {
-            need.exactVersion = item.text.versions.front();
+        const std::string &chosen = serving::GatewayConfig::pickService(*route, item.spec.id);
+        serving::Replica *replica = nullptr;
+        if (!servicesWithoutRoom.contains(chosen)) {
+            replica = chooseReplica(item, chosen, *route, now);
         }
-        serving::Replica *replica = context_.replicas.chooseForItem(need, item.excludedReplicas, now);
-        if (replica == nullptr && need.exactVersion != 0) {
-            // No suitable replica with a free slot has this weight version: discard the text and start over.
-            item.text = {};
-            need.exactVersion = 0;
-            replica = context_.replicas.chooseForItem(need, item.excludedReplicas, now);
+        if (replica == nullptr) {
+            servicesWithoutRoom.insert(chosen);
         }
-        if (replica == nullptr && !item.excludedReplicas.empty()) {
-            item.excludedReplicas.clear();
-            replica = context_.replicas.chooseForItem(need, item.excludedReplicas, now);
+        if (replica == nullptr && now - item.waitingSince >= context_.settings.serviceWait) {
+            for (const serving::WeightedService &other : route->services) {
+                if (replica == nullptr && !servicesWithoutRoom.contains(other.service)) {
+                    replica = chooseReplica(item, other.service, *route, now);
+                    if (replica == nullptr) {
+                        servicesWithoutRoom.insert(other.service);
+                    }
+                }
+            }
         }
-        if (replica == nullptr) {
-            break;
+        if (replica != nullptr) {
+            startAttempt(index, *replica);
         }
-        startAttempt(index, *replica);
     }
 }
 
+serving::Replica *JobRunner::chooseReplica(Item &item, const std::string &service, const serving::Route &route,
+                                           Instant now)
+{
+    serving::ReplicaTable::ItemRequirements need;
+    need.service = service;
+    need.model = spec_.model;
+    need.minVersion = spec_.minVersion;
+    need.plan = &context_.modelPlan();
+    if (const auto found = groupReplica_.find(item.spec.group); found != groupReplica_.end()) {
+        need.preferred = found->second;
+    }
+    if (route.singleVersion && !item.text.empty()) {
+        need.exactVersion = item.text.versions.front();
+    }
+    serving::Replica *replica = context_.replicas.chooseForItem(need, item.excludedReplicas, now);
+    if (replica == nullptr && need.exactVersion != 0) {
+        // No suitable replica with a free slot has this weight version: discard the text and start over.
+        item.text = {};
+        need.exactVersion = 0;
+        replica = context_.replicas.chooseForItem(need, item.excludedReplicas, now);
+    }
+    if (replica == nullptr && !item.excludedReplicas.empty()) {
+        item.excludedReplicas.clear();
+        replica = context_.replicas.chooseForItem(need, item.excludedReplicas, now);
+    }
+    return replica;
+}
+
 void JobRunner::queryLoadingReplicas(LoadWatch &watch)
 {
     const serving::Route *route = this->route();
@@ -163,6 +194,7 @@
     const Instant now = net::loopNow();
     item.state = ItemState::Running;
     item.replica = replica.entry.id;
+    item.waitingSince = Instant();
     item.attempt = attempt;
     item.startedAt = now;
     item.lastEventAt = now;
--- a/src/jobs/jobrunner.h
+++ b/src/jobs/jobrunner.h
@@ -65,6 +65,9 @@
     void reuseResult(const std::string &textKey, const ItemResult &result, std::string_view scoreKey);
 
 private:
+    /// Returns a replica of the service with room for the item, or null. Text of the item is discarded if it can't go
+    /// on at any of them.
+    serving::Replica *chooseReplica(Item &item, const std::string &service, const serving::Route &route, Instant now);
     void startAttempt(std::size_t index, serving::Replica &replica);
     void onHead(std::size_t index, std::uint64_t attempt, const serving::ReplicaHead &head);
     void onEvent(std::size_t index, std::uint64_t attempt, serving::StreamEvent event);
--- a/tests/jobs/jobservicetest.cpp
+++ b/tests/jobs/jobservicetest.cpp
@@ -397,6 +397,54 @@
         cluster.loop, [&cluster] { return cluster.replicas.running == 0; }, std::chrono::seconds(3)));
 }
 
+// Guards against items that wait behind one whose service is full although replicas of their own service are free.
+TEST_CASE("a full service holds up its own items only, and each service gets the longest ones first")
+{
+    JobCluster cluster({"a"});
+    cluster.config.routes.front().services = {{"engine", 80}, {"engine-next", 20}};
+    serving::ReplicaEntry small;
+    small.id = "n1";
+    small.service = "engine-next";
+    small.slots = 1;
+    small.weightVersions["model"] = 1;
+    cluster.tableOf("a").update(small);
+    cluster.replicas.silent = {"r1", "r2", "n1"};
+    jobs::JobSpec spec = JobCluster::spec("job", 40);
+    std::map<std::string, std::vector<std::string>> longestFirst;
+    for (std::size_t i = 0; i < spec.items.size(); ++i) {
+        spec.items[i].lengthHint = static_cast<double>(spec.items.size() - i);
+        const auto &route = cluster.config.routes.front();
+        longestFirst[serving::GatewayConfig::pickService(route, spec.items[i].id)].push_back(spec.items[i].id);
+    }
+    REQUIRE(longestFirst["engine"].size() > 8);
+    REQUIRE(longestFirst["engine-next"].size() > 1);
+    REQUIRE(cluster.submit("a", spec) == SubmitOutcome::Accepted);
+    runFor(cluster.loop, std::chrono::milliseconds(100));
+    std::map<std::string, std::vector<std::string>> sent;
+    for (const auto &arrival : cluster.replicas.receivedRequests) {
+        sent[arrival.replica == "n1" ? "engine-next" : "engine"].push_back(arrival.item);
+    }
+    longestFirst["engine"].resize(8);
+    longestFirst["engine-next"].resize(1);
+    CHECK(sent == longestFirst);
+}
+
+// Guards against items that wait until their time limit for a service that has too few replicas, or none, while another
+// service of their route is free.
+TEST_CASE("an item whose service has no room for long goes to another service of its route")
+{
+    JobCluster cluster({"a"});
+    cluster.settings.serviceWait = absl::Milliseconds(300);
+    cluster.start("a");
+    cluster.config.routes.front().services = {{"engine", 50}, {"lost", 50}};
+    REQUIRE(cluster.submit("a", JobCluster::spec("job", 12)) == SubmitOutcome::Accepted);
+    runFor(cluster.loop, std::chrono::milliseconds(150));
+    const std::size_t sentEarly = cluster.replicas.receivedRequests.size();
+    CHECK(sentEarly > 0);
+    CHECK(sentEarly < 12);
+    CHECK(cluster.waitForResults("a", "job", 12));
+}
+
 // Guards against lost text: after an interrupted attempt, an item must resume from its last event, at any replica.
 TEST_CASE("an item resumes from its last event after an interrupted attempt")
 {
