--- a/src/core/cbor.cpp
+++ b/src/core/cbor.cpp
@@ -5,10 +5,7 @@
 
 namespace {
 
-// The CBOR reader of nlohmann json recurses once per level; a message of nested arrays could exhaust the stack.
-constexpr std::size_t MaxDepth = 64;
-
-// Accepts everything up to MaxDepth levels and keeps nothing.
+// Accepts everything up to MaxJsonDepth levels and keeps nothing. The CBOR reader of nlohmann json recurses as well.
 class DepthCheck final : public nlohmann::json_sax<Json>
 {
 public:
@@ -19,10 +16,10 @@
     bool number_float(number_float_t, const string_t &) override { return true; }
     bool string(string_t &) override { return true; }
     bool binary(binary_t &) override { return true; }
-    bool start_object(std::size_t) override { return ++depth_ <= MaxDepth; }
+    bool start_object(std::size_t) override { return ++depth_ <= MaxJsonDepth; }
     bool key(string_t &) override { return true; }
     bool end_object() override { return leave(); }
-    bool start_array(std::size_t) override { return ++depth_ <= MaxDepth; }
+    bool start_array(std::size_t) override { return ++depth_ <= MaxJsonDepth; }
     bool end_array() override { return leave(); }
     bool parse_error(std::size_t, const std::string &, const nlohmann::detail::exception &) override { return false; }
 
@@ -38,7 +35,7 @@
 
 bool isShallow(const std::string &bytes)
 {
-    if (bytes.size() <= MaxDepth) {
+    if (bytes.size() <= MaxJsonDepth) {
         return true; // Each level takes at least one byte.
     }
     DepthCheck check;
--- a/src/core/json.h
+++ b/src/core/json.h
@@ -12,15 +12,12 @@
 
 using Json = nlohmann::json;
 
-/// Parses text; nullopt where it is not JSON. Never throws.
-inline std::optional<Json> parseJson(std::string_view text)
-{
-    Json value = Json::parse(text.begin(), text.end(), nullptr, false);
-    if (value.is_discarded()) {
-        return std::nullopt;
-    }
-    return value;
-}
+/// Number of levels of arrays and objects that are read from outside. The copy, the destruction and the output of a
+/// value recurse once per level, so that deeper ones could exhaust the stack.
+inline constexpr std::size_t MaxJsonDepth = 64;
+
+/// Parses text; nullopt where it is not JSON or is nested deeper than MaxJsonDepth. Never throws.
+std::optional<Json> parseJson(std::string_view text);
 
 /// The field's value if the object has it with a type that converts exactly to T, else the fallback.
 template<class T>
--- a/tests/core/coretest.cpp
+++ b/tests/core/coretest.cpp
@@ -56,6 +56,39 @@
     CHECK(fieldOr<std::string>(object, "s", "x") == "x");
 }
 
+// Guards against a process that ends by an exhausted stack: a body of nested arrays was parsed, and then copied level
+// by level.
+TEST_CASE("JSON that is nested too deeply is not read", "[core]")
+{
+    const auto nested = [](std::size_t depth, const std::string &open, const std::string &inner,
+                           const std::string &close) {
+        std::string text;
+        for (std::size_t i = 0; i < depth; ++i) {
+            text += open;
+        }
+        text += inner;
+        for (std::size_t i = 0; i < depth; ++i) {
+            text += close;
+        }
+        return text;
+    };
+    for (const std::size_t depth : {std::size_t{1}, MaxJsonDepth}) {
+        CHECK(parseJson(nested(depth, "[", "", "]")).has_value());
+        CHECK(parseJson(nested(depth, "{\"a\":", "1", "}")).has_value());
+    }
+    for (const std::size_t depth : {MaxJsonDepth + 1, std::size_t{200'000}}) {
+        CHECK_FALSE(parseJson(nested(depth, "[", "", "]")).has_value());
+        CHECK_FALSE(parseJson(nested(depth, "{\"a\":", "1", "}")).has_value());
+        CHECK_FALSE(parseJson(nested(depth, "[", "", "")).has_value());
+        CHECK_FALSE(parseJson(nested(depth, "[\"\\\\\",", "1", "]")).has_value());
+    }
+    // Brackets in texts don't count, whatever stands before their ends.
+    const std::string brackets(1000, '[');
+    CHECK(*parseJson("[\"" + brackets + "\"]") == Json::array({brackets}));
+    CHECK(*parseJson("[\"\\\"" + brackets + "\\\\\",\"" + brackets + "\"]")
+          == Json::array({"\"" + brackets + "\\", brackets}));
+}
+
 TEST_CASE("CBOR of another process can't end this one", "[core]")
 {
     const Json value{{"a", {1, 2}}, {"b", "text"}};
