--- a/src/serving/gatewayconfig.cpp
+++ b/src/serving/gatewayconfig.cpp
@@ -18,7 +18,7 @@
             best = &route;
         }
     }
-    return best;
+    return best == nullptr || best->services.empty() ? nullptr : best;
 }
 
 bool GatewayConfig::isRolloutPath(std::string_view host, std::string_view path) const
--- a/src/serving/gatewayconfig.h
+++ b/src/serving/gatewayconfig.h
@@ -83,13 +83,14 @@
     absl::flat_hash_map<std::string, std::size_t> workspaceByKey; ///< Index into workspaces.
     net::ServerLimits limits;
 
-    /// Returns the route of the host with the longest matching path prefix, or null if none matches. A port in `host`
-    /// is ignored.
+    /// Returns the route of the host with the longest matching path prefix, or null if none matches or that route has
+    /// no service. A port in `host` is ignored.
     const Route *findRoute(std::string_view host, std::string_view path) const;
     /// True if items of jobs may be sent to this path of the host.
     bool isRolloutPath(std::string_view host, std::string_view path) const;
     const Workspace *findWorkspaceByKey(std::string_view key) const;
-    /// Picks a service by weight and a hash of `seed`; the same `seed` always yields the same service.
+    /// Picks a service of the route, which must have one, by weight and a hash of `seed`; the same `seed` always yields
+    /// the same service.
     static const std::string &pickService(const Route &route, std::string_view seed);
 };
 
--- a/tests/serving/replicatabletest.cpp
+++ b/tests/serving/replicatabletest.cpp
@@ -239,6 +239,12 @@
     CHECK(config.isRolloutPath("h.example", config.routes.front().pathPrefix + "x"));
     CHECK_FALSE(config.isRolloutPath("h.example", "/api/order"));
     CHECK_FALSE(config.isRolloutPath("other.example", config.routes.front().pathPrefix + "x"));
+    // Guards against a process that ends because it picks among no services.
+    Route empty;
+    empty.host = "h.example";
+    empty.pathPrefix = "/empty/";
+    config.routes.push_back(empty);
+    CHECK(config.findRoute("h.example", "/empty/x") == nullptr);
     int toY = 0;
     for (int i = 0; i < 1000; ++i) {
         toY += GatewayConfig::pickService(config.routes[0], std::to_string(i)) == "y" ? 1 : 0;
