--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -83,9 +83,13 @@
         acceptor_.listen(boost::asio::socket_base::max_listen_connections, error);
     }
     if (error) {
-        return makeError(absl::StatusCode::kUnavailable, Step::Settings,
-                         fmt::format("{}:{}", endpoint.address().to_string(), endpoint.port()), Outcome::NotRun,
-                         error.message());
+        boost::system::error_code ignored;
+        acceptor_.close(ignored);
+        const bool mayBeFreeLater =
+            error == boost::asio::error::address_in_use || error == boost::system::errc::address_not_available;
+        return makeError(mayBeFreeLater ? absl::StatusCode::kUnavailable : absl::StatusCode::kFailedPrecondition,
+                         Step::Settings, fmt::format("{}:{}", endpoint.address().to_string(), endpoint.port()),
+                         Outcome::NotRun, error.message());
     }
     accept();
     runEvery(loop_, SweepPeriod, [this] { sweep(); });
--- a/src/net/httpserver.h
+++ b/src/net/httpserver.h
@@ -71,7 +71,8 @@
     HttpServer(Loop &loop, Handler handler);
     ~HttpServer();
 
-    /// kUnavailable if the address can't be bound.
+    /// kUnavailable if the address is in use or not there yet, so that a later call may succeed; kFailedPrecondition if
+    /// it can't be bound for another reason.
     absl::Status listen(const Endpoint &endpoint);
     void setLimits(const ServerLimits &limits) { limits_ = limits; }
     const ServerLimits &limits() const { return limits_; }
--- a/tests/net/httptest.cpp
+++ b/tests/net/httptest.cpp
@@ -2,6 +2,7 @@
 #include "core/error.h"
 #include "net/httpclient.h"
 #include "net/httpserver.h"
+#include "net/listenergroup.h"
 
 #include "fakes/runloop.h"
 
@@ -313,6 +314,35 @@
     CHECK(ask(loop, client, peerOf(server.port()), request("/a")).ok());
 }
 
+// Guards against a server that is left half open by a failed attempt, and against clients that find the last address
+// while an earlier one is missing.
+TEST_CASE("addresses in use are tried again in their order until they are free")
+{
+    Loop loop;
+    const auto ignore = [](const ServerCallPtr &call) { call->respond(200, {}, ""); };
+    auto taken = std::make_unique<HttpServer>(loop, ignore);
+    REQUIRE(taken->listen(AnyPort).ok());
+    const Endpoint busy(boost::asio::ip::address_v4::loopback(), taken->port());
+    HttpServer first(loop, ignore);
+    HttpServer second(loop, ignore);
+    int reports = 0;
+    int bound = 0;
+    ListenerGroup group(loop, [&reports](const absl::Status &) { ++reports; }, {absl::Milliseconds(5)});
+    group.add(first, busy);
+    group.add(second, AnyPort);
+    group.start([&bound] { ++bound; }, [](const absl::Status &) { FAIL("not tried again"); });
+    runFor(loop, std::chrono::milliseconds(50));
+    CHECK(reports == 1);
+    CHECK_FALSE(group.bound());
+    CHECK_THROWS(second.port()); // Not bound yet.
+    taken->stopAccepting();
+    REQUIRE(runUntil(loop, [&bound] { return bound == 1; }));
+    CHECK(group.bound());
+    HttpClient client(loop);
+    CHECK(ask(loop, client, peerOf(first.port()), request("/")).ok());
+    CHECK(ask(loop, client, peerOf(second.port()), request("/")).ok());
+}
+
 TEST_CASE("queries are decoded")
 {
     CHECK(queryValue("/p?a=1&name=x%20y", "name") == "x y");
--- /dev/null
+++ b/tests/process/nodeprogram.h
@@ -0,0 +1,54 @@
+// Starts the real currantlug-node with settings on free loopback ports.
+#ifndef CURRANTLUG_TESTS_PROCESS_NODEPROGRAM_H
+#define CURRANTLUG_TESTS_PROCESS_NODEPROGRAM_H
+
+#include "core/json.h"
+#include "scenario/childprocess.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace currantlug::tests {
+
+/// A port of 127.0.0.1 that was free a moment ago.
+int freePort();
+
+/// Settings as the platform writes them, for a process with clients and without a reachable store.
+Json nodeSettings();
+
+/// One machine: its settings file and the processes that run there.
+class NodeProgram
+{
+public:
+    explicit NodeProgram(const Json &settings);
+    ~NodeProgram();
+    NodeProgram(const NodeProgram &) = delete;
+    NodeProgram &operator=(const NodeProgram &) = delete;
+
+    /// Replaces the settings file at once.
+    void writeSettings(const std::string &text) const;
+    /// Starts a process that gets no settings yet, and calls `meanwhile` while it waits for them, before any handler or
+    /// listener of it exists.
+    std::unique_ptr<scenario::ChildProcess>
+    startWhileReading(const std::string &settings,
+                      const std::function<void(scenario::ChildProcess &)> &meanwhile) const;
+    std::unique_ptr<scenario::ChildProcess> start(const std::vector<std::string> &arguments = {}) const;
+    /// What the processes have written to standard error.
+    std::string errors() const;
+
+private:
+    std::string folder_;
+};
+
+/// Sends a GET to 127.0.0.1. Returns the status, or 0 without an answer.
+int statusOf(int port, const std::string &path);
+/// Sends bytes to 127.0.0.1 and returns the status of the answer, or 0 without one.
+int statusOfBytes(int port, const std::string &request);
+/// Asks until the answer has this status, at most for ten seconds.
+bool waitForStatus(int port, const std::string &path, int status);
+
+} // namespace currantlug::tests
+
+#endif
--- /dev/null
+++ b/tests/process/processtest.cpp
@@ -0,0 +1,74 @@
+// The real program as a process: what it must survive while it starts and runs.
+#include "process/nodeprogram.h"
+
+#include <catch2/catch.hpp>
+
+#include <csignal>
+#include <thread>
+
+using namespace currantlug;
+using namespace currantlug::tests;
+
+namespace {
+
+int portOf(const Json &settings, const char *listener)
+{
+    const std::string address = settings["listen"][listener];
+    return std::stoi(address.substr(address.find(':') + 1));
+}
+
+constexpr int Runs = -1; ///< Exit code of a process that hasn't ended.
+
+} // namespace
+
+// Guards against a process that ends because its predecessor at the same addresses still drains.
+TEST_CASE("a process waits for the addresses of its predecessor and serves once they are free")
+{
+    const Json settings = nodeSettings();
+    const NodeProgram machine(settings);
+    const auto predecessor = machine.start();
+    // Without a configuration the node isn't ready, but it answers.
+    REQUIRE(waitForStatus(portOf(settings, "ready"), "/api/ready", 503));
+    const auto process = machine.start();
+    CHECK(process->waitForExit(500) == Runs);
+    predecessor->signal(SIGTERM);
+    CHECK(predecessor->waitForExit(10'000) == 0);
+    CHECK(waitForStatus(portOf(settings, "front"), "/x", 503));
+    CHECK(process->waitForExit(100) == Runs);
+    process->signal(SIGTERM);
+    CHECK(process->waitForExit(10'000) == 0);
+}
+
+// Guards against a process that can't be stopped while it waits for an address.
+TEST_CASE("a process that waits for an address ends at SIGTERM")
+{
+    const Json settings = nodeSettings();
+    const NodeProgram machine(settings);
+    const auto predecessor = machine.start();
+    REQUIRE(waitForStatus(portOf(settings, "ready"), "/api/ready", 503));
+    const auto process = machine.start();
+    CHECK(process->waitForExit(300) == Runs);
+    process->signal(SIGTERM);
+    CHECK(process->waitForExit(5000) == 0);
+    CHECK(predecessor->waitForExit(0) == Runs);
+}
+
+// Guards against a second process of a machine that ends because the first one serves the metrics.
+TEST_CASE("a process whose metrics port is taken serves clients all the same")
+{
+    const Json first = nodeSettings();
+    const Json second = nodeSettings();
+    const NodeProgram one(first);
+    const NodeProgram other(second);
+    const std::string port = std::to_string(freePort());
+    const auto process = one.start({"--metrics-port", port});
+    REQUIRE(waitForStatus(std::stoi(port), "/metrics", 200));
+    const auto neighbour = other.start({"--metrics-port", port});
+    CHECK(waitForStatus(portOf(second, "front"), "/x", 503));
+    CHECK(neighbour->waitForExit(100) == Runs);
+    // The metrics follow once the port is free.
+    process->signal(SIGKILL);
+    CHECK(process->waitForExit(5000) != Runs);
+    CHECK(waitForStatus(std::stoi(port), "/metrics", 200));
+}
+
