--- a/tests/process/processtest.cpp
+++ b/tests/process/processtest.cpp
@@ -21,6 +21,30 @@
 
 } // namespace
 
+// Guards against a process that ends because a signal arrives before it can be handled: SIGHUP follows every change of
+// the settings file, also while the process starts.
+TEST_CASE("a process that is still starting survives SIGHUP")
+{
+    const Json settings = nodeSettings();
+    const NodeProgram machine(settings);
+    const auto process =
+        machine.startWhileReading(settings.dump(), [](scenario::ChildProcess &starting) { starting.signal(SIGHUP); });
+    REQUIRE(process != nullptr);
+    CHECK(waitForStatus(portOf(settings, "front"), "/x", 503));
+    CHECK(process->waitForExit(100) == Runs);
+}
+
+// Guards against a stop that is forgotten, or ends the process without a word, because it came too early.
+TEST_CASE("a stop that is asked for while the process starts is carried out in order")
+{
+    const Json settings = nodeSettings();
+    const NodeProgram machine(settings);
+    const auto process =
+        machine.startWhileReading(settings.dump(), [](scenario::ChildProcess &starting) { starting.signal(SIGTERM); });
+    REQUIRE(process != nullptr);
+    CHECK(process->waitForExit(10'000) == 0);
+}
+
 // Guards against a process that ends because its predecessor at the same addresses still drains.
 TEST_CASE("a process waits for the addresses of its predecessor and serves once they are free")
 {
--- a/tests/scenario/childprocess.cpp
+++ b/tests/scenario/childprocess.cpp
@@ -31,6 +31,8 @@
     if (pid_ == 0) {
         // The program must not outlive a test that is killed.
         prctl(PR_SET_PDEATHSIG, SIGKILL);
+        // A parent that was started by nohup ignores SIGHUP, and the program would inherit that.
+        ::signal(SIGHUP, SIG_DFL);
         dup2(pipeEnds[1], STDOUT_FILENO);
         dup2(log, STDERR_FILENO);
         execv(program.c_str(), argv.data());
