--- a/tests/process/processtest.cpp
+++ b/tests/process/processtest.cpp
@@ -96,3 +96,63 @@
     CHECK(waitForStatus(std::stoi(port), "/metrics", 200));
 }
 
+// Guards against a process that ends because its settings are just being written.
+TEST_CASE("a process waits for settings that are still being written")
+{
+    const Json settings = nodeSettings();
+    const NodeProgram machine(settings);
+    machine.writeSettings(settings.dump().substr(0, 40));
+    const auto process = machine.start();
+    CHECK(process->waitForExit(300) == Runs);
+    machine.writeSettings(settings.dump());
+    CHECK(waitForStatus(portOf(settings, "front"), "/x", 503));
+    CHECK(process->waitForExit(100) == Runs);
+}
+
+// Guards against a process that ends, again and again, because the platform leaves out what its role doesn't need.
+TEST_CASE("settings without what the role doesn't need are enough")
+{
+    Json settings = nodeSettings();
+    SECTION("a role that listens to nothing: no table")
+    {
+        settings["serves"] = {"store"};
+        settings.erase("listen");
+    }
+    SECTION("a role that listens to nothing: null")
+    {
+        settings["serves"] = {"store"};
+        settings["listen"] = nullptr;
+    }
+    SECTION("a role that listens to nothing needs no store and no bounds")
+    {
+        settings["serves"] = {"store"};
+        for (const char *name : {"listen", "platform", "cloud_api", "bounds", "zones", "limits"}) {
+            settings.erase(name);
+        }
+    }
+    SECTION("duties: an empty table")
+    {
+        settings["cloud_api"] = Json::object();
+    }
+    SECTION("duties: an empty address")
+    {
+        settings["cloud_api"]["address"] = "";
+    }
+    const NodeProgram machine(settings);
+    const auto process = machine.start();
+    CHECK(process->waitForExit(1500) == Runs);
+}
+
+// Guards against a process that starts half configured.
+TEST_CASE("wrong settings end the process with the reasons")
+{
+    Json settings = nodeSettings();
+    settings["listen"]["front"] = "nowhere";
+    settings.erase("platform");
+    const NodeProgram machine(settings);
+    const auto process = machine.start();
+    CHECK(process->waitForExit(10'000) == 2);
+    CHECK(machine.errors().find("listen.front must be IP:PORT") != std::string::npos);
+    CHECK(machine.errors().find("platform must be a table") != std::string::npos);
+}
+
