--- a/tests/process/processtest.cpp
+++ b/tests/process/processtest.cpp
@@ -156,3 +156,20 @@
     CHECK(machine.errors().find("platform must be a table") != std::string::npos);
 }
 
+// Guards against a process that ends by an exhausted stack: the items of a job were nested 200,000 deep.
+TEST_CASE("a body that is nested deeply is refused and the process goes on")
+{
+    const Json settings = nodeSettings();
+    const NodeProgram machine(settings);
+    const auto process = machine.start();
+    const int port = portOf(settings, "front");
+    REQUIRE(waitForStatus(port, "/x", 503));
+    const std::string body = "{\"items\":" + std::string(200'000, '[') + std::string(200'000, ']') + "}";
+    const std::string fields =
+        " HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: a\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+    for (const char *listener : {"front", "ready", "control", "directory"}) {
+        statusOfBytes(portOf(settings, listener), "POST /rollout/a" + fields + body);
+    }
+    CHECK(waitForStatus(port, "/x", 503));
+    CHECK(process->waitForExit(100) == Runs);
+}
