net: an exception of a handler ends neither the process nor periodic work (FAULT)

By reading, beside the class: nothing but the parser of the options stood inside a try, so that whatever a handler threw (a conversion of JSON, an allocation) ended the process with all requests in it, and a periodic task that threw would never have run again. No input that throws was found.

A client whose request threw gets 500 and its connection is closed; one whose answer had begun is cut.

Before: the test needs runLoop(); with run() the exception leaves the loop. After: test-net passed.

--- a/src/net/eventloop.cpp
+++ b/src/net/eventloop.cpp
@@ -63,11 +63,28 @@
 void runEvery(Loop &loop, absl::Duration period, std::function<void()> work)
 {
     runAfter(loop, period, [&loop, period, work = std::move(work)]() mutable {
-        work();
+        try {
+            work();
+        } catch (...) {
+            runEvery(loop, period, std::move(work));
+            throw;
+        }
         runEvery(loop, period, std::move(work));
     });
 }
 
+void runLoop(Loop &loop, const std::function<void(const std::exception &)> &onException)
+{
+    for (;;) {
+        try {
+            loop.run();
+            return;
+        } catch (const std::exception &error) {
+            onException(error);
+        }
+    }
+}
+
 void limitSilence(boost::asio::ip::tcp::socket &socket)
 {
     const int descriptor = socket.native_handle();
--- a/src/net/eventloop.h
+++ b/src/net/eventloop.h
@@ -8,6 +8,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <exception>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -28,9 +29,13 @@
 /// Runs `work` once after the delay.
 void runAfter(Loop &loop, absl::Duration delay, std::function<void()> work);
 
-/// Runs `work` every `period` until the loop ends. The period starts after the work.
+/// Runs `work` every `period` until the loop ends, also after it has thrown. The period starts after the work.
 void runEvery(Loop &loop, absl::Duration period, std::function<void()> work);
 
+/// Runs the loop until it is stopped or has no more work. An exception of a handler is passed to `onException` and ends
+/// neither the loop nor the periodic work that threw it.
+void runLoop(Loop &loop, const std::function<void(const std::exception &)> &onException);
+
 /// Keep-alive probes and a limit on unacknowledged bytes. A connection whose other end fell silent fails after about
 /// three seconds.
 void limitSilence(boost::asio::ip::tcp::socket &socket);
--- a/src/net/serverconnection.cpp
+++ b/src/net/serverconnection.cpp
@@ -121,7 +121,17 @@
     headRequest_ = request.method == "HEAD";
     call_ = std::make_shared<ServerCall>(weak_from_this(), std::move(request));
     ++server_->openCalls_;
-    server_->handler_(call_);
+    try {
+        server_->handler_(call_);
+    } catch (...) {
+        // The client learns of the failure; the connection isn't read any more.
+        closeAfterAnswer_ = true;
+        if (call_ != nullptr) {
+            const ServerCallPtr call = call_;
+            call->answered() ? call->abort() : call->respond(500, {}, "internal error");
+        }
+        throw;
+    }
 }
 
 void ServerConnection::reject(const boost::system::error_code &error)
--- a/tests/net/httptest.cpp
+++ b/tests/net/httptest.cpp
@@ -12,6 +12,9 @@
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <stdexcept>
+
 using namespace currantlug;
 using namespace currantlug::net;
 using namespace currantlug::tests;
@@ -314,6 +317,46 @@
     CHECK(ask(loop, client, peerOf(server.port()), request("/a")).ok());
 }
 
+// Guards against a process that ends, a client without an answer, and periodic work that stops, because a handler
+// threw.
+TEST_CASE("an exception of a handler ends neither the loop nor the work that threw it")
+{
+    Loop loop;
+    HttpServer server(loop, [](const ServerCallPtr &call) {
+        if (call->request().target == "/throw") {
+            throw std::runtime_error("in a handler");
+        }
+        call->respond(200, {}, "");
+    });
+    REQUIRE(server.listen(AnyPort).ok());
+    HttpClient client(loop);
+    int rounds = 0;
+    runEvery(loop, absl::Milliseconds(1), [&rounds] {
+        if (++rounds == 2) {
+            throw std::runtime_error("in periodic work");
+        }
+    });
+    std::vector<int> statuses;
+    for (const char *target : {"/throw", "/x", "/throw"}) {
+        ClientHandlers handlers;
+        handlers.onDone = [&](const absl::StatusOr<HttpResponse> &response) {
+            statuses.push_back(response.ok() ? response->status : 0);
+            if (statuses.size() == 3) {
+                runAfter(loop, absl::Milliseconds(50), [&loop] { loop.stop(); });
+            }
+        };
+        client.call(peerOf(server.port()), request(target), {}, std::move(handlers));
+    }
+    std::vector<std::string> messages;
+    runLoop(loop, [&messages](const std::exception &error) { messages.emplace_back(error.what()); });
+    std::sort(statuses.begin(), statuses.end());
+    CHECK(statuses == std::vector<int>{200, 500, 500});
+    std::sort(messages.begin(), messages.end());
+    CHECK(messages == std::vector<std::string>{"in a handler", "in a handler", "in periodic work"});
+    CHECK(rounds > 2);
+    CHECK(server.openCalls() == 0);
+}
+
 // Guards against a server that is left half open by a failed attempt, and against clients that find the last address
 // while an earlier one is missing.
 TEST_CASE("addresses in use are tried again in their order until they are free")
