tests: no section without a check of its own

The same variants are generated values now; none is left out, and the texts test has 24 in place of 18.

--- a/tests/jobs/jobservicetest.cpp
+++ b/tests/jobs/jobservicetest.cpp
@@ -521,6 +521,9 @@
 TEST_CASE("text is reused only for an item that is the same in everything that determines it")
 {
     const std::string node = GENERATE("a", "b");
+    const std::string difference = GENERATE("workspace", "model", "host", "path", "body", "header field");
+    const std::size_t differingItem = GENERATE(0, 1); // For the last three.
+    CAPTURE(node, difference, differingItem);
     JobCluster cluster({"a", "b"});
     cluster.replicas.eventsPerItem = 40;
     cluster.replicas.eventGap = absl::Milliseconds(10);
@@ -529,37 +532,25 @@
     REQUIRE(cluster.end("a", "one") == ReadOutcome::Found);
     jobs::JobSpec other = JobCluster::spec("one", 2);
     other.id = "two";
-    SECTION("another workspace")
-    {
+    jobs::ItemSpec &item = other.items.at(differingItem);
+    if (difference == "workspace") {
         other.workspace = "v";
-    }
-    SECTION("another model")
-    {
+    } else if (difference == "model") {
         other.model = "other model";
-        for (const char *node : {"a", "b"}) {
+        for (const char *name : {"a", "b"}) {
             for (const char *replica : {"r1", "r2"}) {
-                cluster.tableOf(node).find(replica)->entry.weightVersions["other model"] = 1;
+                cluster.tableOf(name).find(replica)->entry.weightVersions["other model"] = 1;
             }
         }
-    }
-    SECTION("another host")
-    {
+    } else if (difference == "host") {
         cluster.config.routes.front().host = "other.example";
         other.host = "other.example";
-    }
-    for (jobs::ItemSpec &item : other.items) {
-        SECTION("another path: " + item.id)
-        {
-            item.path += "0";
-        }
-        SECTION("another body: " + item.id)
-        {
-            item.body += " in other words";
-        }
-        SECTION("another header field: " + item.id)
-        {
-            item.headers.add("X-Temperature", "0");
-        }
+    } else if (difference == "path") {
+        item.path += "0";
+    } else if (difference == "body") {
+        item.body += " in other words";
+    } else {
+        item.headers.add("X-Temperature", "0");
     }
     const std::size_t sent = cluster.replicas.receivedRequests.size();
     REQUIRE(cluster.submit(node, other) == SubmitOutcome::Accepted);
@@ -569,7 +560,7 @@
                                        cluster.replicas.receivedRequests.end(),
                                        [](const auto &arrival) { return arrival.resumeAfter.has_value(); });
     // Where a single item differs, the text of the other one is still used.
-    const bool jobDiffers = other.workspace != "w" || other.model != "model" || other.host != "host.example";
+    const bool jobDiffers = difference == "workspace" || difference == "model" || difference == "host";
     CHECK(resumed == (jobDiffers ? 0 : 1));
 }
 
--- a/tests/process/processtest.cpp
+++ b/tests/process/processtest.cpp
@@ -113,31 +113,25 @@
 TEST_CASE("settings without what the role doesn't need are enough")
 {
     Json settings = nodeSettings();
-    SECTION("a role that listens to nothing: no table")
-    {
+    const std::string variant =
+        GENERATE("no listeners: no table", "no listeners: null", "no listeners: nothing but a name",
+                 "duties: an empty table", "duties: an empty address");
+    CAPTURE(variant);
+    if (variant == "duties: an empty table") {
+        settings["cloud_api"] = Json::object();
+    } else if (variant == "duties: an empty address") {
+        settings["cloud_api"]["address"] = "";
+    } else {
         settings["serves"] = {"store"};
         settings.erase("listen");
     }
-    SECTION("a role that listens to nothing: null")
-    {
-        settings["serves"] = {"store"};
+    if (variant == "no listeners: null") {
         settings["listen"] = nullptr;
-    }
-    SECTION("a role that listens to nothing needs no store and no bounds")
-    {
-        settings["serves"] = {"store"};
-        for (const char *name : {"listen", "platform", "cloud_api", "bounds", "zones", "limits"}) {
+    } else if (variant == "no listeners: nothing but a name") {
+        for (const char *name : {"platform", "cloud_api", "bounds", "zones", "limits"}) {
             settings.erase(name);
         }
     }
-    SECTION("duties: an empty table")
-    {
-        settings["cloud_api"] = Json::object();
-    }
-    SECTION("duties: an empty address")
-    {
-        settings["cloud_api"]["address"] = "";
-    }
     const NodeProgram machine(settings);
     const auto process = machine.start();
     CHECK(process->waitForExit(1500) == Runs);
