--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -4,6 +4,7 @@
 #include "core/hash.h"
 #include "objects/meteredport.h"
 #include "telemetry/log.h"
+#include "telemetry/processusage.h"
 
 #include <absl/time/clock.h>
 
@@ -154,6 +155,7 @@
                         }})
     , lastTickAt_(net::loopNow())
     , startedAt_(net::loopNow())
+    , stallDetector_({FastTickPeriod})
 {
     const auto config = [this] { return usableConfig(); };
     const jobs::PeerPort peers{
@@ -553,6 +555,7 @@
     status.connectionsOpened = client_.connectionsOpened();
     if (scrapeHandler_) {
         scrapeHandler_(metrics_.registry());
+    status.longestStall = stallDetector_.longest();
     }
     return metrics_.exposition(status, replicas_, now);
 }
@@ -564,6 +567,7 @@
     checkPause();
     const Instant now = net::loopNow();
     replicas_.expire(now);
+    reportStall();
     replicaFollower_.poll(now);
     if (!stopping_) {
         controller_->poll();
@@ -576,6 +580,21 @@
 
 void Node::checkPause()
 {
+const serving::GatewayConfig *Node::usableConfig() const
+{
+    const bool usable = config_ && !verifying_ && net::loopNow() - lastTickAt_ <= PauseLimit;
+    return usable ? &*config_ : nullptr;
+}
+
+void Node::reportStall()
+{
+    if (const auto stall = stallDetector_.onTick(net::loopNow(), telemetry::processorTime())) {
+        telemetry::log(Level::Warning, "node", "stalled",
+                       {{"delay_ms", absl::ToInt64Milliseconds(stall->delay)},
+                        {"processor_ms", absl::ToInt64Milliseconds(stall->processorTime)}});
+    }
+}
+
     const Instant now = net::loopNow();
     const absl::Duration gap = now - std::exchange(lastTickAt_, now);
     if (gap <= PauseLimit || !config_) {
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -13,6 +13,7 @@
 #include "node/relayedstore.h"
 #include "node/replicafollower.h"
 #include "node/replicajournal.h"
+#include "node/stalldetector.h"
 #include "node/watchplan.h"
 #include "objects/objectmirror.h"
 #include "serving/crashsuspects.h"
@@ -173,6 +174,7 @@
     /// Detects that this process was paused, for example by a suspension of its machine. What it knows may have run out
     /// meanwhile: nothing is served until the configuration was compared with the store's or a peer's.
     void checkPause();
+    void reportStall();
     void verifyConfig();
     /// The configuration; null as long as there is none or it must not be used.
     const serving::GatewayConfig *usableConfig() const { return config_ && !verifying_ ? &*config_ : nullptr; }
@@ -229,6 +231,7 @@
     Instant lastTickAt_; ///< Time of the last fast tick, or of the last check for a pause.
     Instant startedAt_;
 };
+    StallDetector stallDetector_; ///< Watches the fast tick.
 
 } // namespace currantlug::node
 
--- a/src/node/nodemetrics.cpp
+++ b/src/node/nodemetrics.cpp
@@ -157,6 +157,9 @@
     set("currantlug_jobs_open", "Batch jobs that this node runs.", static_cast<double>(status.openJobs));
     set("currantlug_connections_opened", "Connections opened since the start.",
         static_cast<double>(status.connectionsOpened));
+    set("currantlug_longest_stall_seconds",
+        "Longest delay of periodic work by a turn of the event loop since the start.",
+        absl::ToDoubleSeconds(status.longestStall));
     for (const auto &[state, name] : EnumNames<jobs::ItemState>::Table) {
         const auto found = status.items.find(state);
         registry_.gauge("currantlug_items", "Items of the open batch jobs by state.", {{"state", std::string(name)}})
--- a/src/node/nodemetrics.h
+++ b/src/node/nodemetrics.h
@@ -48,6 +48,7 @@
     std::size_t openJobs = 0;
     std::map<jobs::ItemState, std::size_t> items; ///< Number of items of the open jobs by state.
     std::uint64_t connectionsOpened = 0; ///< To replicas, peers and the object store since the start.
+    absl::Duration longestStall; ///< Of the event loop since the start.
 };
 
 class NodeMetrics
--- a/src/node/nodestate.cpp
+++ b/src/node/nodestate.cpp
@@ -3,6 +3,7 @@
 #include "node/node.h"
 
 #include "telemetry/log.h"
+#include "telemetry/processusage.h"
 
 #include <algorithm>
 #include <set>
@@ -46,6 +47,11 @@
         return;
     }
     config->revision = object.revision;
+    if (!config_) {
+        telemetry::log(Level::Info, "node", "ready",
+                       {{"after_ms", absl::ToInt64Milliseconds(net::loopNow() - startedAt_)},
+                        {"processor_ms", absl::ToInt64Milliseconds(telemetry::processorTime())}});
+    }
     config_ = std::move(*config);
     configObject_ = object;
     telemetry::log(Level::Info, "config", "in_force",
--- a/src/node/peermesh.cpp
+++ b/src/node/peermesh.cpp
@@ -281,12 +281,18 @@
     }
     const bool restarted = !peer.info.incarnation.empty() && peer.info.incarnation != info.incarnation;
     const bool beganStopping = info.stopping && !peer.info.stopping;
+    const bool announced = peer.info.stopping;
     const bool heldTexts = restarted ? peer.info.holdsTexts : info.holdsTexts;
     peer.control = info.control;
     peer.info = info;
     if (restarted || beganStopping) {
         membershipChangedAt_ = net::loopNow();
-        telemetry::log(Level::Info, "mesh", restarted ? "node_restarted" : "node_stopping", {{"node", info.name}});
+        // A process that was ended from outside, or by itself, leaves no line of its own.
+        const std::string_view event = !restarted ? "node_stopping"
+            : announced                           ? "node_restarted"
+                                                  : "node_restarted_unannounced";
+        telemetry::log(restarted && !announced ? Level::Warning : Level::Info, "mesh", event,
+                       {{"node", info.name}, {"incarnation", info.incarnation}});
         lostHandler_(info.name, heldTexts);
     }
 }
