--- a/tests/process/nodeprogram.cpp
+++ b/tests/process/nodeprogram.cpp
@@ -93,6 +93,11 @@
     std::filesystem::rename(written, folder_ + "/settings.json");
 }
 
+void NodeProgram::removeSettings() const
+{
+    std::filesystem::remove(folder_ + "/settings.json");
+}
+
 std::unique_ptr<scenario::ChildProcess>
 NodeProgram::startWhileReading(const std::string &settings,
                                const std::function<void(scenario::ChildProcess &)> &meanwhile) const
@@ -129,6 +134,66 @@
     return text.str();
 }
 
+SignalState signalStateOf(pid_t process)
+{
+    const std::string folder = "/proc/" + std::to_string(process);
+    SignalState state;
+    std::error_code error;
+    state.executed = std::filesystem::read_symlink(folder + "/exe", error) == Program;
+    std::ostringstream maps;
+    maps << std::ifstream(folder + "/maps").rdbuf();
+    state.loadsLibraries = state.executed && maps.str().find("libabsl") != std::string::npos;
+    std::ifstream status(folder + "/status");
+    state.ended = !status;
+    for (std::string name; status >> name;) {
+        std::uint64_t *mask = name == "SigBlk:" ? &state.held
+            : name == "SigCgt:"                 ? &state.caught
+            : name == "SigIgn:"                 ? &state.ignored
+                                                : nullptr;
+        if (mask != nullptr) {
+            status >> std::hex >> *mask;
+        } else if (name == "State:") {
+            status >> name;
+            state.ended = name == "Z" || name == "X";
+        }
+    }
+    return state;
+}
+
+std::uint64_t peakResidentBytes(pid_t process)
+{
+    std::ifstream status("/proc/" + std::to_string(process) + "/status");
+    std::uint64_t kilobytes = 0;
+    for (std::string name; status >> name;) {
+        if (name == "VmHWM:") {
+            status >> kilobytes;
+        }
+    }
+    return kilobytes * 1024;
+}
+
+OpenRequest::OpenRequest(int port, const std::string &bytes)
+    : socket_(loop_)
+{
+    boost::system::error_code error;
+    socket_.connect(tcp::endpoint(boost::asio::ip::address_v4::loopback(), static_cast<unsigned short>(port)), error);
+    // A request that is refused may end before all bytes were taken.
+    boost::asio::write(socket_, boost::asio::buffer(bytes), error);
+}
+
+int OpenRequest::status()
+{
+    std::string head(12, '\0'); // "HTTP/1.1 200"
+    std::size_t bytes = 0;
+    boost::asio::async_read(socket_, boost::asio::buffer(head),
+                            [&bytes](const boost::system::error_code &, std::size_t read) { bytes = read; });
+    loop_.restart();
+    loop_.run_for(std::chrono::seconds(1));
+    socket_.cancel();
+    loop_.run();
+    return bytes == head.size() ? std::atoi(head.c_str() + 9) : 0;
+}
+
 int statusOfBytes(int port, const std::string &request)
 {
     boost::asio::io_context loop;
--- a/tests/process/nodeprogram.h
+++ b/tests/process/nodeprogram.h
@@ -5,6 +5,10 @@
 #include "core/json.h"
 #include "scenario/childprocess.h"
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -29,6 +33,7 @@
 
     /// Replaces the settings file at once.
     void writeSettings(const std::string &text) const;
+    void removeSettings() const;
     /// Starts a process that gets no settings yet, and calls `meanwhile` while it waits for them, before any handler or
     /// listener of it exists.
     std::unique_ptr<scenario::ChildProcess>
@@ -42,6 +47,40 @@
     std::string folder_;
 };
 
+/// What the kernel tells of a process that was started, as one look.
+struct SignalState
+{
+    bool executed = false; ///< The process has left the image of the test.
+    bool ended = false;
+    bool loadsLibraries = false; ///< Shared libraries of the product are mapped.
+    std::uint64_t caught = 0; ///< Signals with a handler; the bit of a signal is its number less one.
+    std::uint64_t held = 0; ///< Blocked signals.
+    std::uint64_t ignored = 0;
+
+    bool catches(int signal) const { return (caught >> (signal - 1) & 1) != 0; }
+    /// True if the signal would end the process, given that its default action does.
+    bool isFatal(int signal) const { return ((caught | held | ignored) >> (signal - 1) & 1) == 0; }
+};
+
+/// The mapped libraries are looked at before the signals.
+SignalState signalStateOf(pid_t process);
+
+/// Largest resident memory of the process so far, in bytes.
+std::uint64_t peakResidentBytes(pid_t process);
+
+/// Sends bytes on a connection of its own to 127.0.0.1, which stays open.
+class OpenRequest
+{
+public:
+    OpenRequest(int port, const std::string &bytes);
+    /// Status of the answer, or 0 if there is none within a second.
+    int status();
+
+private:
+    boost::asio::io_context loop_;
+    boost::asio::ip::tcp::socket socket_;
+};
+
 /// Sends a GET to 127.0.0.1. Returns the status, or 0 without an answer.
 int statusOf(int port, const std::string &path);
 /// Sends bytes to 127.0.0.1 and returns the status of the answer, or 0 without one.
--- a/tests/process/processtest.cpp
+++ b/tests/process/processtest.cpp
@@ -3,7 +3,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <chrono>
 #include <csignal>
+#include <list>
 #include <thread>
 
 using namespace currantlug;
@@ -34,6 +36,61 @@
     CHECK(process->waitForExit(100) == Runs);
 }
 
+// Guards against a process that SIGHUP ends in the milliseconds in which its shared libraries are mapped and relocated.
+TEST_CASE("signals are held back before the product's libraries are loaded")
+{
+    const NodeProgram machine(nodeSettings());
+    for (int start = 0; start < 20; ++start) {
+        const auto process = machine.start();
+        const auto until = std::chrono::steady_clock::now() + std::chrono::seconds(5);
+        SignalState state;
+        bool fatalWhileLoading = false;
+        while (!state.ended && !state.catches(SIGHUP) && std::chrono::steady_clock::now() < until) {
+            state = signalStateOf(process->pid());
+            fatalWhileLoading = fatalWhileLoading || (state.loadsLibraries && !state.ended && state.isFatal(SIGHUP));
+        }
+        CAPTURE(start);
+        CHECK(state.catches(SIGHUP));
+        CHECK_FALSE(fatalWhileLoading);
+    }
+}
+
+// Guards against a process that SIGHUP ends in its last milliseconds, when its handlers are gone already.
+TEST_CASE("SIGHUP in the course of a stop doesn't change its outcome")
+{
+    const Json settings = nodeSettings();
+    const NodeProgram machine(settings);
+    for (int run = 0; run < 5; ++run) {
+        const auto process = machine.start();
+        REQUIRE(waitForStatus(portOf(settings, "front"), "/x", 503));
+        process->signal(SIGTERM);
+        int code = Runs;
+        const auto until = std::chrono::steady_clock::now() + std::chrono::seconds(10);
+        while (code == Runs && std::chrono::steady_clock::now() < until) {
+            process->signal(SIGHUP);
+            std::this_thread::sleep_for(std::chrono::microseconds(100));
+            code = process->waitForExit(0);
+        }
+        CAPTURE(run);
+        CHECK(code == 0);
+    }
+}
+
+// Guards against a process that ends by a signal that it has no use for.
+TEST_CASE("signals without a meaning for the program don't end it")
+{
+    const Json settings = nodeSettings();
+    const NodeProgram machine(settings);
+    const auto process = machine.start();
+    REQUIRE(waitForStatus(portOf(settings, "front"), "/x", 503));
+    for (const int signal : {SIGUSR1, SIGUSR2, SIGPIPE, SIGALRM, SIGVTALRM, SIGPROF, SIGPOLL, SIGPWR, SIGXFSZ}) {
+        CAPTURE(signal);
+        process->signal(signal);
+        CHECK(process->waitForExit(50) == Runs);
+    }
+    CHECK(waitForStatus(portOf(settings, "front"), "/x", 503));
+}
+
 // Guards against a stop that is forgotten, or ends the process without a word, because it came too early.
 TEST_CASE("a stop that is asked for while the process starts is carried out in order")
 {
@@ -101,9 +158,13 @@
 {
     const Json settings = nodeSettings();
     const NodeProgram machine(settings);
-    machine.writeSettings(settings.dump().substr(0, 40));
+    if (GENERATE(true, false)) {
+        machine.writeSettings(settings.dump().substr(0, 40));
+    } else {
+        machine.removeSettings();
+    }
     const auto process = machine.start();
-    CHECK(process->waitForExit(300) == Runs);
+    CHECK(process->waitForExit(2000) == Runs);
     machine.writeSettings(settings.dump());
     CHECK(waitForStatus(portOf(settings, "front"), "/x", 503));
     CHECK(process->waitForExit(100) == Runs);
@@ -167,3 +228,29 @@
     CHECK(waitForStatus(port, "/x", 503));
     CHECK(process->waitForExit(100) == Runs);
 }
+
+// Guards against a process that is killed for its memory because several clients send large bodies at once.
+TEST_CASE("large bodies at once don't take the process over its memory")
+{
+    constexpr std::uint64_t Megabyte = 1 << 20;
+    Json settings = nodeSettings();
+    settings["limits"]["memory_mb"] = 110;
+    const NodeProgram machine(settings);
+    const auto process = machine.start();
+    const int port = portOf(settings, "front");
+    REQUIRE(waitForStatus(port, "/x", 503));
+    const std::string head = "POST /x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: a\r\nContent-Length: "
+        + std::to_string(20 * Megabyte) + "\r\n\r\n";
+    const std::string bytes = head + std::string(19 * Megabyte, 'x');
+    std::list<OpenRequest> requests;
+    int refused = 0;
+    for (int i = 0; i < 8; ++i) {
+        refused += requests.emplace_back(port, bytes).status() == 503 ? 1 : 0;
+    }
+    CHECK(refused == 7);
+    CHECK(process->waitForExit(0) == Runs);
+    CHECK(waitForStatus(port, "/x", 503));
+#if !defined(__SANITIZE_ADDRESS__) && !defined(__SANITIZE_THREAD__) // They keep memory of their own.
+    CHECK(peakResidentBytes(process->pid()) < 110 * Megabyte);
+#endif
+}
