--- a/src/node/signalhold.cpp
+++ b/src/node/signalhold.cpp
@@ -1,39 +1,38 @@
-// Blocks the signals ahead of all constructors.
+// Signal mask and ignored signals of the process.
 #include "node/signalhold.h"
 
-#include <csignal>
-#include <initializer_list>
-#include <sys/syscall.h>
-#include <unistd.h>
+#include "launcher/heldsignals.h"
 
 namespace currantlug::node {
 
 namespace {
 
-constexpr unsigned long bitOf(int signal)
+sigset_t handledSignals()
 {
-    return 1UL << static_cast<unsigned>(signal - 1);
-}
-
-// Runs before the constructors of the shared libraries, and before a sanitizer is set up: hence the bare system call.
-__attribute__((no_sanitize("address", "thread", "undefined"))) void holdSignals()
-{
-    unsigned long held = bitOf(SIGHUP) | bitOf(SIGTERM) | bitOf(SIGINT);
-    syscall(SYS_rt_sigprocmask, SIG_BLOCK, &held, nullptr, sizeof held);
+    sigset_t signals;
+    sigemptyset(&signals);
+    for (const int signal : launcher::HandledSignals) {
+        sigaddset(&signals, signal);
+    }
+    return signals;
 }
 
-__attribute__((section(".preinit_array"), used)) void (*const holdSignalsAtStart)() = holdSignals;
-
 } // namespace
 
 void releaseSignals()
 {
-    sigset_t held;
-    sigemptyset(&held);
-    for (const int signal : {SIGHUP, SIGTERM, SIGINT}) {
-        sigaddset(&held, signal);
+    sigset_t released = handledSignals();
+    for (const int signal : launcher::UnusedSignals) {
+        std::signal(signal, SIG_IGN);
+        sigaddset(&released, signal);
     }
-    sigprocmask(SIG_UNBLOCK, &held, nullptr);
+    sigprocmask(SIG_UNBLOCK, &released, nullptr);
+}
+
+void holdSignals()
+{
+    const sigset_t held = handledSignals();
+    sigprocmask(SIG_BLOCK, &held, nullptr);
 }
 
 } // namespace currantlug::node
--- a/src/node/signalhold.h
+++ b/src/node/signalhold.h
@@ -1,16 +1,17 @@
-// Holds back signals that arrive before the program can handle them.
-//
-// SIGHUP ends a process by default, and the platform may send it to a process that has only just been executed. A
-// program that links this file starts with SIGHUP, SIGTERM and SIGINT blocked; they stay pending until
-// releaseSignals().
+// Signals that the launcher holds back until the program can handle them, and that are held again once it no longer
+// can.
 #ifndef CURRANTLUG_NODE_SIGNALHOLD_H
 #define CURRANTLUG_NODE_SIGNALHOLD_H
 
 namespace currantlug::node {
 
-/// Lets the signals through. Call once their handlers are installed.
+/// Ignores the signals that the program has no use for and lets the others through. Call once their handlers are
+/// installed.
 void releaseSignals();
 
+/// Keeps signals from ending the process. Call before their handlers are removed.
+void holdSignals();
+
 } // namespace currantlug::node
 
 #endif
