node: a refusal through a peer doesn't undo an unanswered call of the store (REFUSED)

Cause: after a direct call without an answer the same call goes through a peer; the peer's "refused" was reported as the outcome of both, and the submission promised 503 although its record could exist. Change: Unknown and then Refused is Unknown; the client gets 502. Only RelayedStore joins outcomes of two calls.

--- a/src/node/relayedstore.cpp
+++ b/src/node/relayedstore.cpp
@@ -56,6 +56,12 @@
     return object;
 }
 
+StoreOutcome joinedOutcome(StoreOutcome direct, StoreOutcome throughPeer)
+{
+    return direct == StoreOutcome::Unknown && throughPeer == StoreOutcome::Refused ? StoreOutcome::Unknown
+                                                                                   : throughPeer;
+}
+
 RelayedStore::RelayedStore(objects::ObjectPort direct, PeerMesh &mesh, std::function<bool()> storeReached)
     : direct_(std::move(direct))
     , mesh_(mesh)
@@ -68,16 +74,13 @@
 {
     mesh_.call(peer, Method, call, RelayTimeout,
                [directOutcome, done = std::move(done)](const absl::StatusOr<Json> &reply) {
-                   const auto decoded = reply.ok() ? decodeReply(*reply) : std::nullopt;
-                   if (decoded) {
-                       done(*decoded);
-                       return;
+                   auto decoded = reply.ok() ? decodeReply(*reply) : std::nullopt;
+                   if (!decoded) {
+                       const bool notExecuted = !reply.ok() && errorContext(reply.status()).outcome == Outcome::NotRun;
+                       decoded.emplace().outcome = notExecuted ? StoreOutcome::Refused : StoreOutcome::Unknown;
                    }
-                   const bool notExecuted = directOutcome == StoreOutcome::Refused && !reply.ok()
-                       && errorContext(reply.status()).outcome == Outcome::NotRun;
-                   StoreReply failed;
-                   failed.outcome = notExecuted ? StoreOutcome::Refused : StoreOutcome::Unknown;
-                   done(failed);
+                   decoded->outcome = joinedOutcome(directOutcome, decoded->outcome);
+                   done(*decoded);
                });
 }
 
--- a/src/node/relayedstore.h
+++ b/src/node/relayedstore.h
@@ -14,6 +14,10 @@
 Json encodeObject(const objects::StoredObject &object);
 objects::StoredObject decodeObject(const Json &value);
 
+/// Outcome of a call that was made directly and then through a peer. A refusal of the second one doesn't undo what the
+/// first may have done.
+objects::StoreOutcome joinedOutcome(objects::StoreOutcome direct, objects::StoreOutcome throughPeer);
+
 /// Tries a call directly and, if that fails, through a peer that reaches the store. While the store doesn't
 /// answer this node, and for a while after a failed direct call, calls go only through a peer, if one reaches the
 /// store. A call may thus be executed twice: it must be conditional or idempotent.
