--- a/src/jobs/jobrunner.cpp
+++ b/src/jobs/jobrunner.cpp
@@ -89,7 +89,7 @@
 {
     const serving::Route *route = this->route();
     const Instant now = net::loopNow();
-    if (stopped_ || route == nullptr || now < heldUntil_) {
+    if (stopped_ || sendingSuspended_ || route == nullptr || now < heldUntil_) {
         return;
     }
     std::set<std::string> servicesWithoutRoom;
--- a/src/jobs/jobrunner.h
+++ b/src/jobs/jobrunner.h
@@ -57,7 +57,9 @@
     /// Stores a segment, even an empty one. The next write of a former owner then conflicts with it, which tells that
     /// node that the job was taken over.
     void fence();
-    /// Resumes storing: this node was found to still own the job.
+    /// Sends nothing until confirmOwnership(): the process was paused, and the job may have ended or been taken over.
+    void suspendSending() { sendingSuspended_ = true; }
+    /// Resumes storing and sending: this node was found to still own the job.
     void confirmOwnership();
     /// Takes over text or a whole result of an item with the same text key from another job, if its weight versions
     /// allow it. A score is taken only if `scoreKey` is that of the item's reward call.
@@ -111,6 +113,7 @@
     Instant heldUntil_; ///< No item is sent before this time.
     bool stopped_ = false;
     bool fencePending_ = false;
+    bool sendingSuspended_ = false;
     bool ownershipUncertain_ = false; ///< Set when another node's segment is found, until confirmOwnership().
 };
 
--- a/src/jobs/jobscoring.cpp
+++ b/src/jobs/jobscoring.cpp
@@ -35,7 +35,7 @@
 {
     const serving::GatewayConfig *config = context_.config();
     const serving::Route *jobRoute = route();
-    if (stopped_ || config == nullptr || jobRoute == nullptr) {
+    if (stopped_ || sendingSuspended_ || config == nullptr || jobRoute == nullptr) {
         return;
     }
     const Instant now = net::loopNow();
--- a/src/jobs/jobservice.cpp
+++ b/src/jobs/jobservice.cpp
@@ -523,6 +523,14 @@
 
 void JobService::dispatchItems()
 {
+void JobService::onPaused()
+{
+    for (const auto &[id, owned] : owned_) {
+        owned->runner->suspendSending();
+    }
+    checkOwnershipOfOpenJobs();
+}
+
     for (const auto &[id, owned] : owned_) {
         owned->runner->sendWaitingItems();
         owned->runner->sendRewardCalls();
--- a/src/jobs/jobservice.h
+++ b/src/jobs/jobservice.h
@@ -71,6 +71,9 @@
     void tick();
     /// Sends waiting items to replicas. Call after replicas or the configuration changed.
     void dispatchItems();
+    /// Holds all items back until the store has shown that their jobs are still open and owned here. To be called after
+    /// a pause of the process.
+    void onPaused();
     /// Searches the store for orphaned jobs and takes over those that fall to this node. Call after this node started.
     void scanOrphanedJobs();
     /// Call some time after this node started, at which it has contact to its peers: all nodes may have restarted, so
--- a/src/jobs/jobstoring.cpp
+++ b/src/jobs/jobstoring.cpp
@@ -4,6 +4,8 @@
 #include "core/hash.h"
 #include "telemetry/log.h"
 
+#include <utility>
+
 namespace currantlug::jobs {
 
 using telemetry::Level;
@@ -138,6 +140,10 @@
 {
     ownershipUncertain_ = false;
     flushIfDue();
+    if (std::exchange(sendingSuspended_, false)) {
+        sendWaitingItems();
+        sendRewardCalls();
+    }
 }
 
 void JobRunner::applySegment(const Segment &segment)
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -603,6 +603,7 @@
     telemetry::log(Level::Warning, "node", "paused", {{"gap_ms", absl::ToInt64Milliseconds(gap)}});
     if (!std::exchange(verifying_, true)) {
         verifyConfig();
+    jobs_->onPaused();
     }
 }
 
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -176,8 +176,9 @@
     void checkPause();
     void reportStall();
     void verifyConfig();
-    /// The configuration; null as long as there is none or it must not be used.
-    const serving::GatewayConfig *usableConfig() const { return config_ && !verifying_ ? &*config_ : nullptr; }
+    /// The configuration; null as long as there is none or it must not be used. After a pause that checkPause() hasn't
+    /// seen yet, it must not be used either.
+    const serving::GatewayConfig *usableConfig() const;
     /// Revision of the configuration; 0 if there is none.
     std::uint64_t configRevision() const { return config_ ? config_->revision : 0; }
     /// False while neither this node nor any peer in contact reaches the object store. A newer configuration may then
--- a/tests/jobs/jobservicetest.cpp
+++ b/tests/jobs/jobservicetest.cpp
@@ -397,6 +397,30 @@
         cluster.loop, [&cluster] { return cluster.replicas.running == 0; }, std::chrono::seconds(3)));
 }
 
+// Guards against items of an ended job: its owner was frozen while another node stored the end, and sent the next items
+// before it looked at the record.
+TEST_CASE("a node that was paused sends no item before the store has shown that the job is open")
+{
+    JobCluster cluster({"a", "b"});
+    cluster.replicas.eventGap = absl::Milliseconds(100);
+    REQUIRE(cluster.submit("a", JobCluster::spec("job", 24)) == SubmitOutcome::Accepted);
+    const bool ended = GENERATE(true, false);
+    CAPTURE(ended);
+    cluster.partitions.insert({"a", "b"});
+    if (ended) {
+        REQUIRE(cluster.end("b", "job") == ReadOutcome::Found);
+    }
+    cluster.partitions.clear();
+    const std::size_t sent = cluster.replicas.receivedRequests.size();
+    REQUIRE(sent < 24);
+    cluster.at("a").onPaused();
+    cluster.at("a").dispatchItems();
+    CHECK(cluster.replicas.receivedRequests.size() == sent);
+    runFor(cluster.loop, std::chrono::milliseconds(1000));
+    CHECK((cluster.replicas.receivedRequests.size() == sent) == ended);
+    CHECK(cluster.at("a").openJobCount() == (ended ? 0 : 1));
+}
+
 // Guards against items that wait behind one whose service is full although replicas of their own service are free.
 TEST_CASE("a full service holds up its own items only, and each service gets the longest ones first")
 {
