--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -110,7 +110,6 @@
         const auto connection = std::make_shared<detail::ServerConnection>(*this, std::move(socket));
         connections_.insert(connection);
         connection->start();
-        accept();
     });
 }
 
@@ -122,6 +121,8 @@
 }
 
 void HttpServer::sweep()
+        // First, so that an exception below, for lack of memory, doesn't end the service.
+        accept();
 {
     const Instant now = loopNow();
     const auto connections = connections_;
