--- a/src/jobs/itemtracker.cpp
+++ b/src/jobs/itemtracker.cpp
@@ -2,6 +2,7 @@
 #include "jobs/itemtracker.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace currantlug::jobs {
 
@@ -11,15 +12,15 @@
         && (!singleVersion || versions.size() == 1);
 }
 
-ItemTracker::ItemTracker(const JobSpec &spec)
+ItemTracker::ItemTracker(JobSpec spec)
 {
-    for (const ItemSpec &item : spec.items) {
+    for (ItemSpec &item : spec.items) {
         byId_.emplace(item.id, items_.size());
         if (!item.textKey.empty()) {
             byTextKey_.emplace(item.textKey, items_.size());
         }
         order_.push_back(items_.size());
-        items_.emplace_back().spec = item;
+        items_.emplace_back().spec = std::move(item);
     }
     std::stable_sort(order_.begin(), order_.end(), [&](std::size_t a, std::size_t b) {
         return items_[a].spec.lengthHint > items_[b].spec.lengthHint;
--- a/src/jobs/itemtracker.h
+++ b/src/jobs/itemtracker.h
@@ -75,7 +75,7 @@
 class ItemTracker
 {
 public:
-    explicit ItemTracker(const JobSpec &spec);
+    explicit ItemTracker(JobSpec spec);
 
     std::vector<Item> &items() { return items_; }
     const std::vector<Item> &items() const { return items_; }
--- a/src/jobs/job.cpp
+++ b/src/jobs/job.cpp
@@ -8,6 +8,8 @@
 
 #include <algorithm>
 #include <iterator>
+#include <numeric>
+#include <utility>
 
 namespace currantlug::jobs {
 
@@ -34,6 +36,20 @@
 
 } // namespace
 
+std::size_t bodyBytes(const JobSpec &spec)
+{
+    return std::accumulate(spec.items.begin(), spec.items.end(), std::size_t{0},
+                           [](std::size_t sum, const ItemSpec &item) { return sum + item.body.size(); });
+}
+
+JobSpec takeItems(JobSpec &spec)
+{
+    std::vector<ItemSpec> items = std::exchange(spec.items, {});
+    JobSpec taken = spec;
+    taken.items = std::move(items);
+    return taken;
+}
+
 void assignTextKeys(JobSpec &spec)
 {
     for (ItemSpec &item : spec.items) {
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -143,6 +143,10 @@
     std::vector<ItemResult> results;
 };
 
+/// Sum of the lengths of the items' bodies.
+std::size_t bodyBytes(const JobSpec &spec);
+/// The job with its items, which are moved out of `spec`.
+JobSpec takeItems(JobSpec &spec);
 /// Sets the text keys of all items: digests of the workspace, host and model of the job, and of the id, path, header
 /// fields and body of the item. Ids alone are chosen by clients and are unique only within a job.
 void assignTextKeys(JobSpec &spec);
--- a/src/jobs/jobcontext.h
+++ b/src/jobs/jobcontext.h
@@ -5,6 +5,7 @@
 #include "jobs/job.h"
 #include "jobs/jobplacement.h"
 #include "net/eventloop.h"
+#include "net/memorybudget.h"
 #include "objects/objectport.h"
 #include "serving/gatewayconfig.h"
 #include "serving/replicaport.h"
@@ -47,6 +48,8 @@
     /// Limit for a peer's answer to a submission that was forwarded to it, several store calls. Past it this node
     /// submits the job itself.
     absl::Duration forwardTimeout = absl::Seconds(1);
+    /// A job whose bodies are larger than this isn't forwarded, which takes memory for several copies.
+    std::size_t maxForwardBytes = 4 << 20;
     /// A finished item waits at most this long for the rest of its group before its result is stored.
     absl::Duration flushDelay = absl::Milliseconds(400);
     absl::Duration minFlushInterval = absl::Milliseconds(100); ///< Between two writes of results of one job.
@@ -101,6 +104,7 @@
     using VersionsCallback = std::function<void(const std::map<std::string, std::uint64_t> &versionByModel)>;
     /// Asks a replica for its weight versions; not called back without an answer. May be empty.
     std::function<void(const serving::Replica &, VersionsCallback)> queryVersions = {};
+    net::MemoryBudget *memory = nullptr; ///< Counts the bodies of owned jobs; null for none.
 };
 
 } // namespace currantlug::jobs
--- a/src/jobs/jobrunner.cpp
+++ b/src/jobs/jobrunner.cpp
@@ -31,7 +31,7 @@
     : context_(context)
     , rewards_(rewards)
     , spec_(std::move(spec))
-    , tracker_(spec_)
+    , tracker_(takeItems(spec_))
     , log_(std::move(log))
     , hooks_(std::move(hooks))
     , acceptedAt_(net::loopNow())
--- a/src/jobs/jobservice.cpp
+++ b/src/jobs/jobservice.cpp
@@ -32,7 +32,7 @@
 {
     JobSpec spec;
     JobRecord record;
-    std::vector<Json> parts;
+    std::vector<std::size_t> partEnds; ///< Index after the last item of each part.
     std::vector<std::function<void(SubmitOutcome)>> done;
     std::vector<Json> texts; ///< Text of the items from earlier jobs, as answered by this node and its peers.
     Instant startedAt;
@@ -118,11 +118,11 @@
             models.insert(models.end(), service.models.begin(), service.models.end());
         }
     }
-    const std::string host = chooseJobHost(submission->spec.model, std::move(models), jobHosts());
-    if (host == context_.node) {
+    const JobSpec &spec = submission->spec;
+    const std::string host = chooseJobHost(spec.model, std::move(models), jobHosts());
+    if (host == context_.node || bodyBytes(spec) > context_.settings.maxForwardBytes) {
         return false;
     }
-    const JobSpec &spec = submission->spec;
     Json items = Json::array();
     for (const ItemSpec &item : spec.items) {
         items.push_back(toJson(item));
@@ -177,26 +177,17 @@
 
 void JobService::submitHere(const std::shared_ptr<Submission> &submission)
 {
-    JobRecord &record = submission->record;
     const JobSpec &spec = submission->spec;
-    Json items = Json::array();
+    submission->partEnds.clear();
     std::size_t bytes = 0;
-    const auto finishPart = [&] {
-        submission->parts.push_back({{"head", jobHeaderToJson(spec)}, {"items", std::move(items)}});
-        items = Json::array();
-        bytes = 0;
-    };
-    for (const ItemSpec &item : spec.items) {
-        items.push_back(toJson(item));
-        bytes += item.body.size() * 4 / 3 + 512;
-        if (bytes > context_.settings.partBytes) {
-            finishPart();
+    for (std::size_t index = 0; index < spec.items.size(); ++index) {
+        bytes += spec.items[index].body.size() * 4 / 3 + 512;
+        if (bytes > context_.settings.partBytes || index + 1 == spec.items.size()) {
+            submission->partEnds.push_back(index + 1);
+            bytes = 0;
         }
     }
-    if (!items.empty() || submission->parts.empty()) {
-        finishPart();
-    }
-    record.parts = submission->parts.size();
+    submission->record.parts = submission->partEnds.size();
     const Json keys = textKeys(spec);
     submission->texts.push_back(textsFor(keys));
     requestTexts(
@@ -214,12 +205,19 @@
 
 void JobService::writePart(const std::shared_ptr<Submission> &submission, std::uint64_t part)
 {
-    if (part == submission->parts.size()) {
+    if (part == submission->partEnds.size()) {
         writeRecord(submission);
         return;
     }
+    // Encoded only when it is written: the items of a job may have tens of megabytes.
+    const JobSpec &spec = submission->spec;
+    Json items = Json::array();
+    for (std::size_t index = part == 0 ? 0 : submission->partEnds[part - 1]; index < submission->partEnds[part];
+         ++index) {
+        items.push_back(toJson(spec.items[index]));
+    }
     context_.store.create(
-        PartKind, partName(submission->record.id, part), submission->parts[part],
+        PartKind, partName(submission->record.id, part), {{"head", jobHeaderToJson(spec)}, {"items", std::move(items)}},
         [this, submission, part](const StoreReply &reply) {
             // A repeated submission writes the same items, so an existing part can be used.
             if (reply.outcome == StoreOutcome::Done || reply.outcome == StoreOutcome::Conflict) {
@@ -247,7 +245,7 @@
     if (reply.outcome == StoreOutcome::Done) {
         const std::uint64_t revision = reply.changes.empty() ? 0 : reply.changes.front().object.revision;
         if (!released_) {
-            addOwnedJob(submission->record, revision, submission->spec, {});
+            addOwnedJob(submission->record, revision, takeItems(submission->spec), {});
         }
         for (const Json &texts : submission->texts) {
             applyTexts(submission->record.id, texts);
@@ -294,7 +292,7 @@
         cachedRecords_[record->id] = {*record, object.revision, expiryTime(record->submittedMs)};
         const bool ownedHere = record->submission == submission->record.submission && isOwnedHere(*record);
         if (ownedHere && !record->ended && !released_) {
-            addOwnedJob(*record, object.revision, submission->spec, {});
+            addOwnedJob(*record, object.revision, takeItems(submission->spec), {});
         }
         finishSubmission(submission, resubmissionOutcome(submission->spec, *record));
         dispatchItems();
@@ -324,6 +322,10 @@
     owned->record = record;
     owned->revision = revision;
     owned->expiresAt = expiryTime(record.submittedMs);
+    if (context_.memory != nullptr) {
+        owned->memory = net::MemoryShare(*context_.memory);
+        owned->memory.setTo(bodyBytes(spec)); // The job runs in any case.
+    }
     owned->runner = std::make_shared<JobRunner>(context_, rewards_, std::move(spec), record.submittedMs, std::move(log),
                                                 JobRunner::Hooks{[this, id = record.id] { servePendingReads(id); },
                                                                  [this, id = record.id] { checkOwnership(id); }});
@@ -521,8 +523,6 @@
     }
 }
 
-void JobService::dispatchItems()
-{
 void JobService::onPaused()
 {
     for (const auto &[id, owned] : owned_) {
@@ -531,6 +531,8 @@
     checkOwnershipOfOpenJobs();
 }
 
+void JobService::dispatchItems()
+{
     for (const auto &[id, owned] : owned_) {
         owned->runner->sendWaitingItems();
         owned->runner->sendRewardCalls();
--- a/src/jobs/jobservice.h
+++ b/src/jobs/jobservice.h
@@ -112,6 +112,7 @@
         JobRecord record;
         std::uint64_t revision = 0;
         std::shared_ptr<JobRunner> runner;
+        net::MemoryShare memory; ///< For the bodies of the items.
         std::vector<PendingRead> pendingReads;
         Instant expiresAt;
     };
--- a/src/net/clientconnection.cpp
+++ b/src/net/clientconnection.cpp
@@ -6,6 +6,8 @@
 #include <boost/asio/write.hpp>
 
 #include <algorithm>
+#include <array>
+#include <utility>
 
 namespace currantlug::net::detail {
 
@@ -41,7 +43,7 @@
 {
 }
 
-void ClientConnection::start(CallId id, const HttpRequest &request, const ClientLimits &limits, ClientHandlers handlers)
+void ClientConnection::start(CallId id, HttpRequest request, const ClientLimits &limits, ClientHandlers handlers)
 {
     const Instant now = loopNow();
     id_ = id;
@@ -50,10 +52,11 @@
     response_ = {};
     headPassed_ = false;
     sent_ = false;
+    paused_ = false;
     headRequest_ = request.method == "HEAD";
     informationalCount_ = 0;
     resetParser();
-    auto encoded = encodeRequest(request);
+    auto encoded = encodeRequestHead(request);
     if (!encoded.ok()) {
         boost::asio::post(client_->loop_, [self = shared_from_this(), id, status = encoded.status()] {
             if (self->id_ == id) {
@@ -62,7 +65,8 @@
         });
         return;
     }
-    output_ = *std::move(encoded);
+    outputHead_ = *std::move(encoded);
+    outputBody_ = std::move(request.body);
     connectUntil_ = now + limits.connect;
     totalUntil_ = now + limits.total;
     silenceUntil_ = now + limits.silence;
@@ -115,8 +119,11 @@
 {
     sent_ = true;
     writing_ = true;
-    boost::asio::async_write(socket_, boost::asio::buffer(output_),
+    const std::array<boost::asio::const_buffer, 2> output{boost::asio::buffer(outputHead_),
+                                                          boost::asio::buffer(outputBody_)};
+    boost::asio::async_write(socket_, output,
                              [self = shared_from_this()](const boost::system::error_code &error, std::size_t) {
+                                 std::string().swap(self->outputBody_);
                                  // A peer may answer before it has read a long body and then close: the answer is read
                                  // all the same, and a failed read reports the error. After a failure the request
                                  // stays incomplete, so the connection isn't used again.
@@ -125,8 +132,21 @@
     read();
 }
 
+void ClientConnection::resume()
+{
+    if (std::exchange(paused_, false)) {
+        silenceUntil_ = loopNow() + limits_.silence;
+        arm(nextLimit());
+        read();
+    }
+}
+
 void ClientConnection::read()
 {
+    if (reading_ || paused_ || closed_) {
+        return;
+    }
+    reading_ = true;
     socket_.async_read_some(buffer_.prepare(ReadChunkBytes),
                             [self = shared_from_this()](const boost::system::error_code &error, std::size_t bytes) {
                                 self->onRead(error, bytes);
@@ -135,6 +155,7 @@
 
 void ClientConnection::onRead(const boost::system::error_code &error, std::size_t bytes)
 {
+    reading_ = false;
     if (closed_ || id_ == 0) {
         return;
     }
@@ -238,7 +259,7 @@
     if (!handlers_.onBody) {
         countCollected(parser_->get().body().size());
         if (client_ != nullptr && collected_ > HttpClient::SmallBodyBytes
-            && client_->collectedBytes_ > HttpClient::MaxCollectedBytes) {
+            && client_->collectedBytes_ > client_->collectedLimit_) {
             fail(absl::StatusCode::kResourceExhausted, Step::ReadAnswer, "no memory for the body");
             return false;
         }
@@ -338,7 +359,7 @@
 
 Instant ClientConnection::nextLimit() const
 {
-    const Instant limit = std::min(totalUntil_, silenceUntil_);
+    const Instant limit = paused_ ? totalUntil_ : std::min(totalUntil_, silenceUntil_);
     return connected_ ? limit : std::min(limit, connectUntil_);
 }
 
--- a/src/net/clientconnection.h
+++ b/src/net/clientconnection.h
@@ -17,7 +17,9 @@
 public:
     ClientConnection(HttpClient &client, std::string peer);
 
-    void start(CallId id, const HttpRequest &request, const ClientLimits &limits, ClientHandlers handlers);
+    void start(CallId id, HttpRequest request, const ClientLimits &limits, ClientHandlers handlers);
+    void pause() { paused_ = true; }
+    void resume();
     /// Closes without a report.
     void drop();
     /// Waits for the peer to close an idle connection or to send bytes that belong to no request.
@@ -55,7 +57,8 @@
     boost::asio::steady_timer timer_;
     boost::beast::flat_buffer buffer_;
     std::optional<Parser> parser_;
-    std::string output_;
+    std::string outputHead_; ///< Of the present request, without its body.
+    std::string outputBody_;
     CallId id_ = 0; ///< 0 between calls.
     ClientLimits limits_;
     ClientHandlers handlers_;
@@ -63,7 +66,9 @@
     bool headPassed_ = false;
     bool connected_ = false;
     bool sent_ = false; ///< Bytes of the present request may have left.
-    bool writing_ = false; ///< Bytes of a request are still to be sent; output_ must not change.
+    bool writing_ = false; ///< Bytes of a request are still to be sent; the output must not change.
+    bool reading_ = false;
+    bool paused_ = false; ///< Nothing is read until resume().
     int informationalCount_ = 0; ///< Informational answers to the present request.
     std::uint64_t collected_ = 0; ///< Bytes of the present body that the client counts.
     bool closed_ = false;
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -19,7 +19,7 @@
     }
 }
 
-CallId HttpClient::call(const std::string &peer, const HttpRequest &request, const ClientLimits &limits,
+CallId HttpClient::call(const std::string &peer, HttpRequest request, const ClientLimits &limits,
                         ClientHandlers handlers)
 {
     const CallId id = ++lastId_;
@@ -28,10 +28,24 @@
         connection = std::make_shared<detail::ClientConnection>(*this, peer);
     }
     active_[id] = connection;
-    connection->start(id, request, limits, std::move(handlers));
+    connection->start(id, std::move(request), limits, std::move(handlers));
     return id;
 }
 
+void HttpClient::pause(CallId id)
+{
+    if (const auto found = active_.find(id); found != active_.end()) {
+        found->second->pause();
+    }
+}
+
+void HttpClient::resume(CallId id)
+{
+    if (const auto found = active_.find(id); found != active_.end()) {
+        found->second->resume();
+    }
+}
+
 void HttpClient::cancel(CallId id)
 {
     const auto found = active_.find(id);
--- a/src/net/httpclient.h
+++ b/src/net/httpclient.h
@@ -56,10 +56,14 @@
     ~HttpClient();
 
     /// Sends a request to "IP:PORT". Handlers are called from the loop, never from within this function.
-    CallId call(const std::string &peer, const HttpRequest &request, const ClientLimits &limits,
-                ClientHandlers handlers);
+    CallId call(const std::string &peer, HttpRequest request, const ClientLimits &limits, ClientHandlers handlers);
     /// Ends a call without a report and closes its connection. Does nothing for a call that has ended.
     void cancel(CallId id);
+    /// Stops reading the answer, so that its sender has to wait; resume() goes on. An ended call is ignored.
+    void pause(CallId id);
+    void resume(CallId id);
+    /// Limits the bodies that are being collected at one time, together.
+    void setCollectedLimit(std::uint64_t bytes) { collectedLimit_ = bytes; }
     /// True until the call has ended or was cancelled.
     bool isOpen(CallId id) const { return active_.contains(id); }
 
@@ -74,13 +78,12 @@
     void ended(CallId id) { active_.erase(id); }
 
     Loop &loop_;
-    /// Limit of the bodies that are being collected at one time, together. Peers that send without end must not use up
-    /// the memory of the process; a small machine has 160 MB.
-    static constexpr std::uint64_t MaxCollectedBytes = 48 << 20;
     /// A body below this size isn't given up for the sake of others.
     static constexpr std::uint64_t SmallBodyBytes = 2 << 20;
 
     CallId lastId_ = 0;
+    /// Peers that send without end must not use up the memory of the process.
+    std::uint64_t collectedLimit_ = 48 << 20;
     std::uint64_t collectedBytes_ = 0; ///< Of bodies that are being collected.
     std::uint64_t connectionsOpened_ = 0;
     absl::flat_hash_map<CallId, ConnectionPtr> active_;
--- a/src/net/httpmessage.cpp
+++ b/src/net/httpmessage.cpp
@@ -96,18 +96,26 @@
 }
 
 absl::StatusOr<std::string> encodeRequest(const HttpRequest &request)
+{
+    auto encoded = encodeRequestHead(request);
+    if (encoded.ok()) {
+        *encoded += request.body;
+    }
+    return encoded;
+}
+
+absl::StatusOr<std::string> encodeRequestHead(const HttpRequest &request)
 {
     if (absl::Status status = checkRequest(request); !status.ok()) {
         return status;
     }
     std::string out = fmt::format("{} {} HTTP/1.1\r\n", request.method, request.target);
-    out.reserve(out.size() + request.body.size() + 512);
+    out.reserve(out.size() + 512);
     appendFields(out, request.headers);
     if (!request.body.empty() || (request.method != "GET" && request.method != "DELETE")) {
         fmt::format_to(std::back_inserter(out), "Content-Length: {}\r\n", request.body.size());
     }
     out += "\r\n";
-    out += request.body;
     return out;
 }
 
--- a/src/net/httpmessage.h
+++ b/src/net/httpmessage.h
@@ -75,6 +75,8 @@
 /// Serializes a request with its length. `Host` must be among the headers, once. kInvalidArgument if a part of the
 /// request isn't valid at its place, so that nothing can be sent that the peer takes for more than this request.
 absl::StatusOr<std::string> encodeRequest(const HttpRequest &request);
+/// The same without the body, up to the blank line that precedes it.
+absl::StatusOr<std::string> encodeRequestHead(const HttpRequest &request);
 
 /// Serializes the status line and the fields, without the blank line that ends them.
 std::string encodeResponseHead(int status, const Headers &headers);
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -7,6 +7,8 @@
 #include <boost/asio/ip/address.hpp>
 #include <fmt/format.h>
 
+#include <algorithm>
+
 namespace currantlug::net {
 
 namespace {
@@ -40,6 +42,19 @@
     }
 }
 
+bool ServerCall::isCongested() const
+{
+    const auto connection = connection_.lock();
+    return connection != nullptr && connection->isCongested();
+}
+
+void ServerCall::onSent(std::function<void()> handler)
+{
+    if (const auto connection = connection_.lock()) {
+        connection->onSent(std::move(handler));
+    }
+}
+
 void ServerCall::finish()
 {
     if (const auto connection = connection_.lock()) {
@@ -107,12 +122,24 @@
             runAfter(loop_, absl::Milliseconds(50), [this] { accept(); });
             return;
         }
+        // First, so that an exception below, for lack of memory, doesn't end the service.
+        accept();
         const auto connection = std::make_shared<detail::ServerConnection>(*this, std::move(socket));
         connections_.insert(connection);
         connection->start();
     });
 }
 
+std::uint64_t HttpServer::congestionBytes() const
+{
+    if (memoryBudget_ == nullptr) {
+        return limits_.unsentBytes;
+    }
+    const auto together = static_cast<std::uint64_t>(static_cast<double>(memoryBudget_->limit()) * UnsentFraction);
+    return std::min(limits_.unsentBytes,
+                    std::max(MinUnsentBytes, together / std::max<std::size_t>(1, connections_.size())));
+}
+
 void HttpServer::stopAccepting()
 {
     boost::system::error_code ignored;
@@ -121,8 +148,6 @@
 }
 
 void HttpServer::sweep()
-        // First, so that an exception below, for lack of memory, doesn't end the service.
-        accept();
 {
     const Instant now = loopNow();
     const auto connections = connections_;
--- a/src/net/httpserver.h
+++ b/src/net/httpserver.h
@@ -4,6 +4,7 @@
 
 #include "net/eventloop.h"
 #include "net/httpmessage.h"
+#include "net/memorybudget.h"
 
 #include <absl/status/status.h>
 #include <absl/time/time.h>
@@ -12,6 +13,7 @@
 #include <functional>
 #include <memory>
 #include <set>
+#include <utility>
 
 namespace currantlug::net {
 
@@ -26,6 +28,10 @@
     std::uint64_t bodyBytes = 32ULL << 20;
     absl::Duration headerTimeout = absl::Seconds(10); ///< From a request's first byte to its end.
     absl::Duration idleTimeout = absl::Seconds(60); ///< Between requests.
+    /// An answer in parts is congested while more than this waits for its client.
+    std::uint64_t unsentBytes = 256 << 10;
+    /// Sent with the refusal of a body for lack of memory. Bodies that large arrive within a second or so.
+    absl::Duration memoryRetryAfter = absl::Seconds(1);
 };
 
 /// One request and the way to answer it. Held by shared_ptr; an answer after the client has gone is dropped.
@@ -39,12 +45,18 @@
     }
 
     const HttpRequest &request() const { return request_; }
+    /// The body, which request() no longer has after this.
+    std::string takeBody() { return std::exchange(request_.body, {}); }
 
     /// The whole answer. Call once.
     void respond(int status, const Headers &headers, std::string_view body);
     /// Starts an answer of unknown length; write() and then finish() or abort() follow.
     void begin(int status, const Headers &headers);
     void write(std::string_view bytes);
+    /// True if the client reads too slowly: what was written waits here. The writer should pause until onSent().
+    bool isCongested() const;
+    /// Calls the handler once, when all that was written has left. Not called if the client goes first.
+    void onSent(std::function<void()> handler);
     void finish();
     /// Closes the connection, so that what was sent doesn't look complete.
     void abort();
@@ -57,6 +69,7 @@
     friend class detail::ServerConnection;
     std::weak_ptr<detail::ServerConnection> connection_;
     HttpRequest request_;
+    MemoryShare bodyMemory_; ///< Held until the call is destroyed.
     std::function<void()> gone_;
     bool answered_ = false;
 };
@@ -74,10 +87,15 @@
     /// kUnavailable if the address is in use or not there yet, so that a later call may succeed; kFailedPrecondition if
     /// it can't be bound for another reason.
     absl::Status listen(const Endpoint &endpoint);
+    /// Bodies take their memory from the budget, which must outlive this server and its calls. A request whose body
+    /// doesn't fit is answered with 503 before the body is read.
+    void setMemoryBudget(MemoryBudget &budget) { memoryBudget_ = &budget; }
     void setLimits(const ServerLimits &limits) { limits_ = limits; }
     const ServerLimits &limits() const { return limits_; }
     /// From here on each answer asks its client to use another connection.
     void startClosing() { closing_ = true; }
+    /// Bytes of answers that wait for their clients.
+    std::uint64_t unsentBytes() const { return unsentBytes_; }
     /// Stops accepting and closes connections that carry no request.
     void stopAccepting();
     bool closing() const { return closing_; }
@@ -88,15 +106,23 @@
 
 private:
     friend class detail::ServerConnection;
+    /// Part of the memory budget that all answers together may take while they wait for slow clients.
+    static constexpr double UnsentFraction = 0.25; // An eighth of the memory of the process.
+    static constexpr std::uint64_t MinUnsentBytes = 16 << 10; ///< Of one answer, however many wait.
+
     void accept();
     void sweep();
+    /// Unsent bytes from which an answer is congested.
+    std::uint64_t congestionBytes() const;
 
     Loop &loop_;
     Handler handler_;
     boost::asio::ip::tcp::acceptor acceptor_;
     ServerLimits limits_;
+    MemoryBudget *memoryBudget_ = nullptr; ///< Null: no limit.
     bool closing_ = false;
     std::size_t openCalls_ = 0;
+    std::uint64_t unsentBytes_ = 0; ///< Sum over the connections.
     std::set<std::shared_ptr<detail::ServerConnection>> connections_;
 };
 
--- a/src/net/serverconnection.cpp
+++ b/src/net/serverconnection.cpp
@@ -5,6 +5,9 @@
 #include <boost/asio/write.hpp>
 #include <fmt/format.h>
 
+#include <algorithm>
+#include <utility>
+
 namespace currantlug::net::detail {
 
 namespace {
@@ -12,6 +15,9 @@
 constexpr std::size_t ReadChunkBytes = 16384;
 // Bytes that may wait behind a request in progress: a client that pipelines more is read later.
 constexpr std::size_t PipelineBytes = 65536;
+// Memory for a body of length 1: its bytes and the values that are decoded from them.
+constexpr std::uint64_t BodyMemoryFactor = 2;
+constexpr absl::Duration LingerTime = absl::Seconds(2);
 
 int rejectionStatus(const boost::system::error_code &error)
 {
@@ -43,6 +49,7 @@
     parser_->eager(true);
     parser_->header_limit(server_->limits().headerBytes);
     parser_->body_limit(server_->limits().bodyBytes);
+    bodyMemory_ = server_->memoryBudget_ == nullptr ? MemoryShare() : MemoryShare(*server_->memoryBudget_);
     requestBegun_ = false;
     continueSent_ = false;
 }
@@ -70,7 +77,9 @@
         return;
     }
     buffer_.commit(bytes);
-    if (call_ == nullptr) {
+    if (closeAfterWrite_) {
+        buffer_.clear(); // The last answer is on its way.
+    } else if (call_ == nullptr) {
         parse();
     }
     read();
@@ -90,7 +99,13 @@
             break;
         }
         if (error) {
-            reject(error);
+            reject(rejectionStatus(error), {}, error.message());
+            return;
+        }
+        if (parser_->is_header_done() && !reserveBody()) {
+            Headers headers;
+            headers.add("Retry-After", fmt::format("{}", absl::ToInt64Seconds(server_->limits().memoryRetryAfter)));
+            reject(503, headers, "no memory for the body");
             return;
         }
         if (used == 0) {
@@ -120,6 +135,7 @@
     closeAfterAnswer_ = !message.keep_alive();
     headRequest_ = request.method == "HEAD";
     call_ = std::make_shared<ServerCall>(weak_from_this(), std::move(request));
+    call_->bodyMemory_ = std::move(bodyMemory_);
     ++server_->openCalls_;
     try {
         server_->handler_(call_);
@@ -134,12 +150,31 @@
     }
 }
 
-void ServerConnection::reject(const boost::system::error_code &error)
+bool ServerConnection::reserveBody()
+{
+    const std::uint64_t bytes =
+        std::max<std::uint64_t>(parser_->content_length().value_or(0), parser_->get().body().size());
+    return bodyMemory_.growTo(bytes * BodyMemoryFactor);
+}
+
+void ServerConnection::reject(int status, const Headers &headers, std::string_view reason)
 {
     closeAfterAnswer_ = true;
+    std::string().swap(parser_->get().body());
+    bodyMemory_.release();
     call_ = std::make_shared<ServerCall>(weak_from_this(), HttpRequest{});
     ++server_->openCalls_;
-    call_->respond(rejectionStatus(error), {}, error.message());
+    call_->respond(status, headers, reason);
+}
+
+void ServerConnection::linger()
+{
+    lingering_ = true;
+    stateSince_ = loopNow();
+    boost::system::error_code ignored;
+    socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+    buffer_.clear();
+    read();
 }
 
 void ServerConnection::sendWhole(int status, const Headers &headers, std::string_view body)
@@ -207,6 +242,7 @@
     if (closed_) {
         return;
     }
+    countUnsent(bytes.size(), 0);
     output_.push_back(std::move(bytes));
     if (!writing_) {
         writeNext();
@@ -223,21 +259,50 @@
                                      self->close();
                                      return;
                                  }
+                                 self->countUnsent(0, self->output_.front().size());
                                  self->output_.pop_front();
+                                 if (self->output_.empty()) {
+                                     if (const auto handler = std::exchange(self->sentHandler_, nullptr)) {
+                                         handler();
+                                     }
+                                 }
+                                 if (self->writing_) {
+                                     return; // The handler has queued more.
+                                 }
                                  if (!self->output_.empty()) {
                                      self->writeNext();
                                  } else if (self->closeAfterWrite_) {
-                                     self->close();
+                                     self->parser_->is_done() ? self->close() : self->linger();
                                  }
                              });
 }
 
+void ServerConnection::countUnsent(std::uint64_t added, std::uint64_t removed)
+{
+    unsent_ = unsent_ + added - removed;
+    if (server_ != nullptr) {
+        server_->unsentBytes_ = server_->unsentBytes_ + added - removed;
+    }
+}
+
+bool ServerConnection::isCongested() const
+{
+    return server_ != nullptr && unsent_ > server_->congestionBytes();
+}
+
+void ServerConnection::onSent(std::function<void()> handler)
+{
+    sentHandler_ = std::move(handler);
+}
+
 void ServerConnection::close()
 {
     if (closed_) {
         return;
     }
     closed_ = true;
+    countUnsent(0, unsent_);
+    sentHandler_ = nullptr;
     boost::system::error_code ignored;
     socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_both, ignored);
     socket_.close(ignored);
@@ -267,6 +332,12 @@
         return;
     }
     const ServerLimits &limits = server_->limits();
+    if (lingering_) {
+        if (now - stateSince_ > LingerTime) {
+            close();
+        }
+        return;
+    }
     const bool stopped = !server_->acceptor_.is_open() && !requestBegun_;
     if (!stopped && now - stateSince_ <= (requestBegun_ ? limits.headerTimeout : limits.idleTimeout)) {
         return;
--- a/src/net/serverconnection.h
+++ b/src/net/serverconnection.h
@@ -29,6 +29,8 @@
     void sendHead(int status, const Headers &headers);
     void sendPart(std::string_view bytes);
     void sendEnd();
+    bool isCongested() const;
+    void onSent(std::function<void()> handler);
 
 private:
     using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
@@ -39,21 +41,33 @@
     /// Parses what is buffered; hands a complete request to the server's handler.
     void parse();
     void dispatch();
-    void reject(const boost::system::error_code &error);
+    /// Enlarges the share of the memory budget to what the body needs. Returns false if the budget doesn't allow it.
+    bool reserveBody();
+    /// Answers before the request was read whole. The connection is closed after that.
+    void reject(int status, const Headers &headers, std::string_view reason);
+    /// Reads and drops what the client still sends: bytes that nobody reads would reset the connection, and the answer
+    /// with it.
+    void linger();
     void queue(std::string bytes);
     void writeNext();
+    /// Accounts for bytes that are queued or have left.
+    void countUnsent(std::uint64_t added, std::uint64_t removed);
     void answerDone();
 
     HttpServer *server_; ///< Null once the server is gone.
     boost::asio::ip::tcp::socket socket_;
     boost::beast::flat_buffer buffer_;
     std::optional<Parser> parser_;
+    MemoryShare bodyMemory_; ///< For the body being read.
     std::shared_ptr<ServerCall> call_; ///< The request being handled; null between requests.
     std::deque<std::string> output_; ///< The front element is being written.
+    std::uint64_t unsent_ = 0; ///< Bytes of output_.
+    std::function<void()> sentHandler_; ///< Called when output_ is empty.
     bool reading_ = false;
     bool writing_ = false;
     bool closed_ = false;
     bool closeAfterWrite_ = false;
+    bool lingering_ = false; ///< All is sent; what arrives is dropped.
     bool closeAfterAnswer_ = false; ///< The client or the server asked for one answer only.
     bool headRequest_ = false;
     bool continueSent_ = false;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -185,7 +185,8 @@
                                            done(report->weightVersions);
                                        }
                                    });
-        }});
+        },
+        binding_.memory});
     control::ControllerContext context{
         loop,
         replicas_,
@@ -431,26 +432,27 @@
         requests_.run(std::move(request), *route, workspace, std::move(sink));
         return;
     }
-    auto spec = binding_.parseJob(request, workspace);
+    if (!configCurrent()) {
+        refuseTemporarily(request, sink, "the object store can't be reached");
+        return;
+    }
+    const std::string jobId = request.id;
+    auto spec = binding_.parseJob(std::move(request), workspace);
     if (!spec.ok()) {
         telemetry::log(Level::Warning, "job", "unreadable",
-                       {telemetry::requestId(request.id), {"message", std::string(spec.status().message())}});
+                       {telemetry::requestId(jobId), {"message", std::string(spec.status().message())}});
         serving::rejectRequest(sink, 400, std::string(spec.status().message()), absl::ZeroDuration());
         return;
     }
     for (const jobs::ItemSpec &item : spec->items) {
         if (!config_->isRolloutPath(spec->host, net::pathOf(item.path))) {
             telemetry::log(Level::Warning, "job", "foreign_path",
-                           {telemetry::requestId(request.id), {"item", item.id}, {"path", item.path}});
+                           {telemetry::requestId(jobId), {"item", item.id}, {"path", item.path}});
             serving::rejectRequest(sink, 400, "the path of item " + item.id + " is on no route for jobs",
                                    absl::ZeroDuration());
             return;
         }
     }
-    if (!configCurrent()) {
-        refuseTemporarily(request, sink, "the object store can't be reached");
-        return;
-    }
     jobs_->submit(*std::move(spec), [sink = std::move(sink)](jobs::SubmitOutcome outcome) {
         switch (outcome) {
         case jobs::SubmitOutcome::Accepted:
@@ -553,9 +555,9 @@
     status.openJobs = jobs_->openJobCount();
     status.items = jobs_->itemCounts();
     status.connectionsOpened = client_.connectionsOpened();
+    status.longestStall = stallDetector_.longest();
     if (scrapeHandler_) {
         scrapeHandler_(metrics_.registry());
-    status.longestStall = stallDetector_.longest();
     }
     return metrics_.exposition(status, replicas_, now);
 }
@@ -565,9 +567,9 @@
 void Node::fastTick()
 {
     checkPause();
+    reportStall();
     const Instant now = net::loopNow();
     replicas_.expire(now);
-    reportStall();
     replicaFollower_.poll(now);
     if (!stopping_) {
         controller_->poll();
@@ -578,8 +580,6 @@
     jobs_->tick();
 }
 
-void Node::checkPause()
-{
 const serving::GatewayConfig *Node::usableConfig() const
 {
     const bool usable = config_ && !verifying_ && net::loopNow() - lastTickAt_ <= PauseLimit;
@@ -595,15 +595,17 @@
     }
 }
 
+void Node::checkPause()
+{
     const Instant now = net::loopNow();
     const absl::Duration gap = now - std::exchange(lastTickAt_, now);
     if (gap <= PauseLimit || !config_) {
         return;
     }
     telemetry::log(Level::Warning, "node", "paused", {{"gap_ms", absl::ToInt64Milliseconds(gap)}});
+    jobs_->onPaused();
     if (!std::exchange(verifying_, true)) {
         verifyConfig();
-    jobs_->onPaused();
     }
 }
 
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -79,8 +79,8 @@
     std::string replicaKind;
     std::function<std::optional<serving::ReplicaEntry>(const objects::StoredObject &)> parseReplica;
     /// Parses a submitted job. The message of an error is sent to the client.
-    std::function<absl::StatusOr<jobs::JobSpec>(const serving::InboundRequest &, const std::string &workspace)>
-        parseJob;
+    std::function<absl::StatusOr<jobs::JobSpec>(serving::InboundRequest, const std::string &workspace)> parseJob;
+    net::MemoryBudget *memory = nullptr; ///< Budget for bodies; null for none.
 };
 
 class Node
@@ -231,8 +231,8 @@
     bool verifying_ = false; ///< After a pause, until the configuration was compared.
     Instant lastTickAt_; ///< Time of the last fast tick, or of the last check for a pause.
     Instant startedAt_;
-};
     StallDetector stallDetector_; ///< Watches the fast tick.
+};
 
 } // namespace currantlug::node
 
--- a/src/node/nodesettings.h
+++ b/src/node/nodesettings.h
@@ -6,6 +6,7 @@
 #include <absl/time/time.h>
 
 #include <algorithm>
+#include <cstdint>
 #include <map>
 #include <string>
 #include <vector>
@@ -25,6 +26,7 @@
     std::string metricsAddress; ///< Metrics aren't served if empty.
     std::string address; ///< IP address of the machine; may be empty.
     double processorShare = 1; ///< Processor time that the node may use, in cores.
+    std::uint64_t memoryBytes = 256 << 20; ///< Memory that the process may use before it is killed.
     std::vector<std::string> seeds; ///< Control addresses of some peers for the first contact. They may be down.
     std::string storeAddress; ///< Address of the object store.
     std::string dutyAddress; ///< Address that receives replica scaling orders and usage reports.
@@ -38,6 +40,11 @@
     absl::Duration jobRetention = absl::Seconds(120); ///< Time for which a job can be read after its submission.
     absl::Duration maxAddressTtl = absl::Seconds(5); ///< Upper bound for the TTL of answers to address queries.
 
+    /// Budgets for bodies and for answers that are collected. The rest of the memory is for code, state and the buffers
+    /// of connections.
+    std::uint64_t bodyMemory() const { return memoryBytes / 2; }
+    std::uint64_t collectedMemory() const { return memoryBytes / 8; }
+
     /// Maximum age of what a node knows of the configuration and the replicas.
     absl::Duration viewAgeLimit() const { return std::min(configApplyTime, drainTime); }
 };
--- a/src/serving/observedport.cpp
+++ b/src/serving/observedport.cpp
@@ -36,7 +36,7 @@
 ReplicaPort observedPort(const ReplicaPort &port, const StatementHandler &onStatement)
 {
     ReplicaPort wrapped = port;
-    wrapped.generate = [generate = port.generate, onStatement](const Replica &replica, const OutboundRequest &request,
+    wrapped.generate = [generate = port.generate, onStatement](const Replica &replica, OutboundRequest request,
                                                                const net::ClientLimits &limits,
                                                                EventHandlers handlers) {
         handlers.onHead = [reader = StatementReader(onStatement, replica),
@@ -44,9 +44,9 @@
             reader.read(head);
             inner(head);
         };
-        return generate(replica, request, limits, std::move(handlers));
+        return generate(replica, std::move(request), limits, std::move(handlers));
     };
-    wrapped.send = [send = port.send, onStatement](const Replica &replica, const OutboundRequest &request,
+    wrapped.send = [send = port.send, onStatement](const Replica &replica, OutboundRequest request,
                                                    const net::ClientLimits &limits, ReplicaHandlers handlers) {
         handlers.onHead = [reader = StatementReader(onStatement, replica), inner = std::move(handlers.onHead)](
                               const ReplicaHead &head, const net::HttpResponse &response) {
@@ -55,7 +55,7 @@
                 inner(head, response);
             }
         };
-        return send(replica, request, limits, std::move(handlers));
+        return send(replica, std::move(request), limits, std::move(handlers));
     };
     return wrapped;
 }
--- a/src/serving/replicaport.h
+++ b/src/serving/replicaport.h
@@ -77,11 +77,12 @@
 struct ReplicaPort
 {
     /// Sends a request whose response is a stream of events.
-    std::function<net::CallId(const Replica &, const OutboundRequest &, const net::ClientLimits &, EventHandlers)>
-        generate;
-    std::function<net::CallId(const Replica &, const OutboundRequest &, const net::ClientLimits &, ReplicaHandlers)>
-        send;
+    std::function<net::CallId(const Replica &, OutboundRequest, const net::ClientLimits &, EventHandlers)> generate;
+    std::function<net::CallId(const Replica &, OutboundRequest, const net::ClientLimits &, ReplicaHandlers)> send;
     std::function<void(net::CallId)> cancel;
+    /// Stops reading a response until resume(), so that the replica has to wait. Both may be empty.
+    std::function<void(net::CallId)> pause = {};
+    std::function<void(net::CallId)> resume = {};
     /// Checks whether a replica lives, without running a request. May be empty.
     std::function<void(const Replica &, std::function<void(ReplicaLiveness)>)> check = {};
 };
@@ -111,6 +112,10 @@
     std::function<void()> finish;
     std::function<void()> abort;
     std::function<void(std::function<void()>)> onClientGone;
+    /// True if the client reads more slowly than the parts come. The writer should pause until onSent().
+    std::function<bool()> isCongested = {};
+    /// Calls the handler once, when all that was written has left.
+    std::function<void(std::function<void()>)> onSent = {};
 };
 
 /// Sends an error response of the node's own. No `Retry-After` field is sent if `retryAfter` is zero.
--- a/src/serving/requestrunner.cpp
+++ b/src/serving/requestrunner.cpp
@@ -235,9 +235,10 @@
         onHead(active, index, head, response);
     };
     if (active->kind == RouteKind::Stream) {
-        handlers.onBody = [active](std::string_view part) {
+        handlers.onBody = [this, active, index](std::string_view part) {
             if (active->streaming && !active->finished) {
                 active->sink.write(part);
+                pauseIfCongested(*active, active->attempts[index].call);
             }
         };
     }
@@ -245,10 +246,19 @@
         onDone(active, index, head, std::move(response));
     };
     active->attempts.push_back({replica.entry.id, 0, true, false});
-    active->attempts[index].call = port_.send(replica, outbound, limits, std::move(handlers));
+    active->attempts[index].call = port_.send(replica, std::move(outbound), limits, std::move(handlers));
     scheduleHedge(active);
 }
 
+void RequestRunner::pauseIfCongested(const ActiveRequest &active, net::CallId call)
+{
+    if (!active.sink.isCongested || !port_.pause || !active.sink.isCongested()) {
+        return;
+    }
+    port_.pause(call);
+    active.sink.onSent([this, call] { port_.resume(call); });
+}
+
 void RequestRunner::scheduleHedge(const ActiveRequestPtr &active)
 {
     if (active->kind != RouteKind::Safe || active->attempts.size() != 1 || !canRetry(*active)
--- a/src/serving/requestrunner.h
+++ b/src/serving/requestrunner.h
@@ -100,6 +100,8 @@
                 const net::HttpResponse &response);
     void onDone(const ActiveRequestPtr &active, std::size_t index, const ReplicaHead &head,
                 absl::StatusOr<net::HttpResponse> response);
+    /// Stops reading from the replica while the client doesn't keep up.
+    void pauseIfCongested(const ActiveRequest &active, net::CallId call);
     void scheduleHedge(const ActiveRequestPtr &active);
     void onAttemptFailed(const ActiveRequestPtr &active, bool notRun, bool full);
     void sendResponse(const ActiveRequestPtr &active, const net::HttpResponse &response);
--- a/tests/adapter/codectest.cpp
+++ b/tests/adapter/codectest.cpp
@@ -200,7 +200,7 @@
                                       {"Te", "trailers"}}) {
         raw.headers.add(name, value);
     }
-    const serving::InboundRequest inbound = decodeInbound(raw);
+    const serving::InboundRequest inbound = decodeInbound(raw, raw.body);
     CHECK(inbound.key == "secret-key");
     CHECK(inbound.deadline == absl::Milliseconds(1200));
     serving::OutboundRequest outbound;
--- a/tests/serving/requestrunnertest.cpp
+++ b/tests/serving/requestrunnertest.cpp
@@ -40,6 +40,13 @@
     }
 
     int sendRequest()
+    {
+        sendWithoutWaiting();
+        runUntil(loop, [this] { return status.has_value(); });
+        return status.value_or(0);
+    }
+
+    void sendWithoutWaiting()
     {
         InboundRequest request;
         request.id = "q";
@@ -52,10 +59,13 @@
             ++responses;
             status = code;
         };
+        sink.begin = [this](int code, const net::Headers &) { status = code; };
+        sink.write = [this](std::string_view part) { written += part; };
+        sink.finish = [this] { ++responses; };
+        sink.isCongested = [this] { return congested; };
+        sink.onSent = [this](std::function<void()> handler) { sent = std::move(handler); };
         sink.onClientGone = [this](std::function<void()> handler) { disconnect = std::move(handler); };
         runner.run(std::move(request), route, "w", std::move(sink));
-        runUntil(loop, [this] { return status.has_value(); });
-        return status.value_or(0);
     }
 
     net::Loop loop;
@@ -68,6 +78,12 @@
     std::map<std::string, int> started;
     std::optional<int> status;
     std::function<void()> disconnect;
+    bool congested = false;
+    std::function<void()> sent;
+    std::string written;
+    std::vector<net::CallId> paused;
+    std::vector<net::CallId> resumed;
+    ReplicaHandlers lastHandlers;
     int responses = 0;
     int cancelled = 0;
 
@@ -81,6 +97,7 @@
             const Behaviour behaviour = behaviourOf[replica.entry.id];
             const net::CallId id = ++lastCall_;
             pending_.insert(id);
+            lastHandlers = handlers;
             net::runAfter(loop, absl::Milliseconds(5), [this, id, behaviour, handlers = std::move(handlers)] {
                 if (behaviour == Behaviour::Silent || pending_.erase(id) == 0) {
                     return;
@@ -89,6 +106,8 @@
             });
             return id;
         };
+        port.pause = [this](net::CallId id) { paused.push_back(id); };
+        port.resume = [this](net::CallId id) { resumed.push_back(id); };
         port.cancel = [this](net::CallId id) { cancelled += static_cast<int>(pending_.erase(id)); };
         return port;
     }
@@ -213,3 +232,25 @@
     CHECK(fixture.sendRequest() == 503);
     CHECK(net::loopNow() - start < fixture.route.targetLatency / 4);
 }
+
+// Guards against a process that keeps a stream without end because its client reads slowly.
+TEST_CASE("a stream isn't read from its replica while its client doesn't keep up")
+{
+    RequestRunnerFixture fixture(1, RouteKind::Stream);
+    fixture.behaviourOf["r0"] = Behaviour::Silent;
+    fixture.sendWithoutWaiting();
+    ReplicaHead head;
+    head.status = 200;
+    net::HttpResponse response;
+    response.status = 200;
+    fixture.lastHandlers.onHead(head, response);
+    fixture.lastHandlers.onBody("one");
+    CHECK(fixture.paused.empty());
+    fixture.congested = true;
+    fixture.lastHandlers.onBody("two");
+    CHECK(fixture.written == "onetwo");
+    CHECK(fixture.paused == std::vector<net::CallId>{1});
+    CHECK(fixture.resumed.empty());
+    fixture.sent();
+    CHECK(fixture.resumed == std::vector<net::CallId>{1});
+}
