--- a/tests/process/nodeprogram.cpp
+++ b/tests/process/nodeprogram.cpp
@@ -73,6 +73,12 @@
             {"bounds", {{"grace_s", 2}}}};
 }
 
+int portOf(const Json &settings, const char *listener)
+{
+    const std::string address = settings["listen"][listener];
+    return std::stoi(address.substr(address.find(':') + 1));
+}
+
 NodeProgram::NodeProgram(const Json &settings)
     : folder_(std::filesystem::temp_directory_path() / ("currantlug-process-" + randomHex(8)))
 {
--- a/tests/process/nodeprogram.h
+++ b/tests/process/nodeprogram.h
@@ -22,6 +22,9 @@
 /// Settings as the platform writes them, for a process with clients and without a reachable store.
 Json nodeSettings();
 
+/// The port of a listener of such settings.
+int portOf(const Json &settings, const char *listener);
+
 /// One machine: its settings file and the processes that run there.
 class NodeProgram
 {
--- a/tests/process/processtest.cpp
+++ b/tests/process/processtest.cpp
@@ -13,12 +13,6 @@
 
 namespace {
 
-int portOf(const Json &settings, const char *listener)
-{
-    const std::string address = settings["listen"][listener];
-    return std::stoi(address.substr(address.find(':') + 1));
-}
-
 constexpr int Runs = -1; ///< Exit code of a process that hasn't ended.
 
 } // namespace
