--- a/src/launcher/heldsignals.h
+++ b/src/launcher/heldsignals.h
@@ -9,8 +9,8 @@
 /// Signals that the program handles: a change of the settings and requests to stop.
 inline constexpr int HandledSignals[] = {SIGHUP, SIGTERM, SIGINT};
 /// Signals that the program has no use for.
-inline constexpr int UnusedSignals[] = {SIGUSR1, SIGUSR2, SIGPIPE, SIGALRM, SIGVTALRM,
-                                        SIGPROF, SIGPOLL, SIGPWR,  SIGXFSZ};
+inline constexpr int UnusedSignals[] = {SIGUSR1, SIGUSR2, SIGPIPE, SIGALRM, SIGVTALRM, SIGPROF,
+                                        SIGPOLL, SIGPWR,  SIGXFSZ, SIGXCPU, SIGSTKFLT};
 
 /// The signals of both lists as the mask of a system call: the bit of a signal is its number less one.
 constexpr unsigned long heldSignalMask()
--- a/src/node/signalhold.cpp
+++ b/src/node/signalhold.cpp
@@ -29,6 +29,13 @@
     sigprocmask(SIG_UNBLOCK, &released, nullptr);
 }
 
+bool isStopPending()
+{
+    sigset_t pending;
+    sigpending(&pending);
+    return sigismember(&pending, SIGTERM) == 1 || sigismember(&pending, SIGINT) == 1;
+}
+
 void holdSignals()
 {
     const sigset_t held = handledSignals();
--- a/src/node/signalhold.h
+++ b/src/node/signalhold.h
@@ -9,6 +9,9 @@
 /// installed.
 void releaseSignals();
 
+/// True if a held signal asks the process to stop.
+bool isStopPending();
+
 /// Keeps signals from ending the process. Call before their handlers are removed.
 void holdSignals();
 
--- a/tests/process/processtest.cpp
+++ b/tests/process/processtest.cpp
@@ -77,7 +77,8 @@
     const NodeProgram machine(settings);
     const auto process = machine.start();
     REQUIRE(waitForStatus(portOf(settings, "front"), "/x", 503));
-    for (const int signal : {SIGUSR1, SIGUSR2, SIGPIPE, SIGALRM, SIGVTALRM, SIGPROF, SIGPOLL, SIGPWR, SIGXFSZ}) {
+    for (const int signal :
+         {SIGUSR1, SIGUSR2, SIGPIPE, SIGALRM, SIGVTALRM, SIGPROF, SIGPOLL, SIGPWR, SIGXFSZ, SIGXCPU, SIGSTKFLT}) {
         CAPTURE(signal);
         process->signal(signal);
         CHECK(process->waitForExit(50) == Runs);
