--- a/src/net/serverconnection.cpp
+++ b/src/net/serverconnection.cpp
@@ -12,11 +12,13 @@
 
 namespace {
 
-constexpr std::size_t ReadChunkBytes = 16384;
 // Bytes that may wait behind a request in progress: a client that pipelines more is read later.
 constexpr std::size_t PipelineBytes = 65536;
 // Memory for a body of length 1: its bytes and the values that are decoded from them.
 constexpr std::uint64_t BodyMemoryFactor = 2;
+// Such a body is taken whatever the budget says: usual requests and the contact between nodes go on beside large
+// bodies.
+constexpr std::uint64_t SmallBodyBytes = 64 << 10;
 constexpr absl::Duration LingerTime = absl::Seconds(2);
 
 int rejectionStatus(const boost::system::error_code &error)
@@ -60,7 +62,7 @@
         return;
     }
     reading_ = true;
-    socket_.async_read_some(buffer_.prepare(ReadChunkBytes),
+    socket_.async_read_some(boost::asio::buffer(input_),
                             [self = shared_from_this()](const boost::system::error_code &error, std::size_t bytes) {
                                 self->onRead(error, bytes);
                             });
@@ -76,17 +78,20 @@
         close();
         return;
     }
-    buffer_.commit(bytes);
-    if (closeAfterWrite_) {
-        buffer_.clear(); // The last answer is on its way.
-    } else if (call_ == nullptr) {
-        parse();
+    if (!closeAfterWrite_) { // Else the last answer is on its way.
+        buffer_.commit(boost::asio::buffer_copy(buffer_.prepare(bytes), boost::asio::buffer(input_, bytes)));
+        if (call_ == nullptr) {
+            parse();
+        }
     }
     read();
 }
 
 void ServerConnection::parse()
 {
+    if (isCongested()) {
+        return; // Goes on when the answers before have left.
+    }
     while (buffer_.size() > 0 && !parser_->is_done()) {
         if (!requestBegun_) {
             requestBegun_ = true;
@@ -154,12 +159,17 @@
 {
     const std::uint64_t bytes =
         std::max<std::uint64_t>(parser_->content_length().value_or(0), parser_->get().body().size());
+    if (bytes <= SmallBodyBytes) {
+        bodyMemory_.setTo(bytes * BodyMemoryFactor);
+        return true;
+    }
     return bodyMemory_.growTo(bytes * BodyMemoryFactor);
 }
 
 void ServerConnection::reject(int status, const Headers &headers, std::string_view reason)
 {
     closeAfterAnswer_ = true;
+    headRequest_ = false;
     std::string().swap(parser_->get().body());
     bodyMemory_.release();
     call_ = std::make_shared<ServerCall>(weak_from_this(), HttpRequest{});
@@ -255,6 +265,9 @@
     boost::asio::async_write(socket_, boost::asio::buffer(output_.front()),
                              [self = shared_from_this()](const boost::system::error_code &error, std::size_t) {
                                  self->writing_ = false;
+                                 if (self->closed_) {
+                                     return;
+                                 }
                                  if (error) {
                                      self->close();
                                      return;
@@ -262,12 +275,10 @@
                                  self->countUnsent(0, self->output_.front().size());
                                  self->output_.pop_front();
                                  if (self->output_.empty()) {
-                                     if (const auto handler = std::exchange(self->sentHandler_, nullptr)) {
-                                         handler();
-                                     }
+                                     self->onAllSent();
                                  }
-                                 if (self->writing_) {
-                                     return; // The handler has queued more.
+                                 if (self->writing_ || self->closed_) {
+                                     return; // More was queued, or the connection was given up.
                                  }
                                  if (!self->output_.empty()) {
                                      self->writeNext();
@@ -277,6 +288,17 @@
                              });
 }
 
+void ServerConnection::onAllSent()
+{
+    if (const auto handler = std::exchange(sentHandler_, nullptr)) {
+        handler();
+    }
+    if (!closed_ && !closeAfterWrite_ && server_ != nullptr && call_ == nullptr) {
+        parse();
+        read();
+    }
+}
+
 void ServerConnection::countUnsent(std::uint64_t added, std::uint64_t removed)
 {
     unsent_ = unsent_ + added - removed;
--- a/src/net/serverconnection.h
+++ b/src/net/serverconnection.h
@@ -8,6 +8,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include <array>
 #include <deque>
 #include <optional>
 
@@ -50,12 +51,15 @@
     void linger();
     void queue(std::string bytes);
     void writeNext();
+    /// Goes on with what waited for the client to read.
+    void onAllSent();
     /// Accounts for bytes that are queued or have left.
     void countUnsent(std::uint64_t added, std::uint64_t removed);
     void answerDone();
 
     HttpServer *server_; ///< Null once the server is gone.
     boost::asio::ip::tcp::socket socket_;
+    std::array<char, 16384> input_; ///< For the read under way: buffer_ may be consumed meanwhile.
     boost::beast::flat_buffer buffer_;
     std::optional<Parser> parser_;
     MemoryShare bodyMemory_; ///< For the body being read.
--- a/tests/net/memorytest.cpp
+++ b/tests/net/memorytest.cpp
@@ -265,3 +265,73 @@
     CHECK(runUntil(loop, [&] { return received > receivedBefore; }));
     client.cancel(id);
 }
+
+// Guards against requests that nobody can serve because large bodies have used up the budget.
+TEST_CASE("small bodies are taken while the memory budget is used up")
+{
+    Loop loop;
+    MemoryBudget budget(Megabyte);
+    MemoryShare job(budget);
+    job.setTo(2 * Megabyte);
+    std::vector<ServerCallPtr> calls;
+    HttpServer server(loop, [&calls](const ServerCallPtr &call) { calls.push_back(call); });
+    server.setMemoryBudget(budget);
+    REQUIRE(server.listen(local(0)).ok());
+    RawClient client(loop, server.port());
+    client.send(headOfPost(1000) + std::string(1000, 'x'));
+    REQUIRE(runUntil(loop, [&calls] { return !calls.empty(); }));
+    CHECK(calls.front()->request().body.size() == 1000);
+}
+
+// Guards against a process that keeps the answers to all that a client has asked for and doesn't read.
+TEST_CASE("the next request of a connection waits while its client doesn't read the answers")
+{
+    Loop loop;
+    int handled = 0;
+    HttpServer server(loop, [&handled](const ServerCallPtr &call) {
+        ++handled;
+        call->respond(200, {}, std::string(Megabyte, 'x'));
+    });
+    REQUIRE(server.listen(local(0)).ok());
+    RawClient client(loop, server.port());
+    std::string requests;
+    for (int i = 0; i < 40; ++i) {
+        requests += "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
+    }
+    client.send(requests);
+    runFor(loop, std::chrono::milliseconds(300));
+    CHECK(server.unsentBytes() < 2 * Megabyte);
+    CHECK(handled < 40);
+    client.read();
+    CHECK(runUntil(loop, [&client] { return client.received.size() > 40 * Megabyte; }));
+    CHECK(handled == 40);
+}
+
+// Guards against a request that is handled twice in the place of the one that came after it: bytes that arrive while
+// buffered ones are used up were taken from the wrong place.
+TEST_CASE("each of several pipelined requests is handled once")
+{
+    Loop loop;
+    std::vector<std::string> targets;
+    std::vector<ServerCallPtr> calls;
+    HttpServer server(loop, [&](const ServerCallPtr &call) {
+        targets.push_back(call->request().target);
+        calls.push_back(call);
+    });
+    REQUIRE(server.listen(local(0)).ok());
+    RawClient client(loop, server.port());
+    client.read();
+    const auto send = [&](const std::string &target) {
+        client.send("GET " + target + " HTTP/1.1\r\nHost: h\r\n\r\n");
+        runFor(loop, std::chrono::milliseconds(20));
+    };
+    send("/a");
+    send("/b");
+    REQUIRE(calls.size() == 1);
+    calls[0]->respond(200, {}, "");
+    REQUIRE(runUntil(loop, [&calls] { return calls.size() == 2; }));
+    calls[1]->respond(200, {}, "");
+    send("/c");
+    REQUIRE(runUntil(loop, [&calls] { return calls.size() == 3; }));
+    CHECK(targets == std::vector<std::string>{"/a", "/b", "/c"});
+}
