--- a/src/core/json.cpp
+++ b/src/core/json.cpp
@@ -29,15 +29,22 @@
     return text.size();
 }
 
-bool isTooDeep(std::string_view text)
+bool isTooLarge(std::string_view text)
 {
     std::size_t depth = 0;
+    std::size_t values = 1;
     for (std::size_t at = 0; at < text.size();) {
         const char c = text[at];
         if (c == '"') {
             at = skipString(text, at);
             continue;
         }
+        if (c == ',' || c == ':' || c == '[' || c == '{') {
+            ++values;
+        }
+        if (values > MaxJsonValues) {
+            return true;
+        }
         if (c == '[' || c == '{') {
             if (++depth > MaxJsonDepth) {
                 return true;
@@ -54,7 +61,7 @@
 
 std::optional<Json> parseJson(std::string_view text)
 {
-    if (isTooDeep(text)) {
+    if (isTooLarge(text)) {
         return std::nullopt;
     }
     Json value = Json::parse(text.begin(), text.end(), nullptr, false);
--- a/src/core/json.h
+++ b/src/core/json.h
@@ -16,7 +16,12 @@
 /// value recurse once per level, so that deeper ones could exhaust the stack.
 inline constexpr std::size_t MaxJsonDepth = 64;
 
-/// Parses text; nullopt where it is not JSON or is nested deeper than MaxJsonDepth. Never throws.
+/// Number of values that are read from outside in one text, names of fields included. Each takes some 100 bytes,
+/// however short its text is.
+inline constexpr std::size_t MaxJsonValues = 1 << 18;
+
+/// Parses text; nullopt where it is not JSON, is nested deeper than MaxJsonDepth or has more than MaxJsonValues values.
+/// Never throws.
 std::optional<Json> parseJson(std::string_view text);
 
 /// The field's value if the object has it with a type that converts exactly to T, else the fallback.
--- a/src/jobs/job.cpp
+++ b/src/jobs/job.cpp
@@ -36,10 +36,13 @@
 
 } // namespace
 
-std::size_t bodyBytes(const JobSpec &spec)
+std::size_t itemMemory(const JobSpec &spec)
 {
     return std::accumulate(spec.items.begin(), spec.items.end(), std::size_t{0},
-                           [](std::size_t sum, const ItemSpec &item) { return sum + item.body.size(); });
+                           [](std::size_t sum, const ItemSpec &item) {
+                               const std::size_t reward = item.reward ? item.reward->body.size() : 0;
+                               return sum + sizeof(ItemSpec) + item.body.size() + reward;
+                           });
 }
 
 JobSpec takeItems(JobSpec &spec)
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -143,8 +143,8 @@
     std::vector<ItemResult> results;
 };
 
-/// Sum of the lengths of the items' bodies.
-std::size_t bodyBytes(const JobSpec &spec);
+/// Memory that the items of a job take, in bytes.
+std::size_t itemMemory(const JobSpec &spec);
 /// The job with its items, which are moved out of `spec`.
 JobSpec takeItems(JobSpec &spec);
 /// Sets the text keys of all items: digests of the workspace, host and model of the job, and of the id, path, header
--- a/src/jobs/jobservice.cpp
+++ b/src/jobs/jobservice.cpp
@@ -38,6 +38,7 @@
     Instant startedAt;
     bool recordMayExist = false; ///< The outcome of a call that creates the record is unknown.
     bool clientAnswered = false;
+    net::MemoryShare memory; ///< For the items, which outlive the client's call if the store doesn't answer.
 };
 
 JobService::JobService(JobContext context)
@@ -96,6 +97,7 @@
     record.submittedMs = absl::ToUnixMillis(absl::Now());
     record.total = spec.items.size();
     assignTextKeys(spec);
+    submission->memory = memoryFor(spec);
     submission->spec = std::move(spec);
     submissions_[record.id] = submission;
     if (place == SubmitAt::ThisNode || !forward(submission)) {
@@ -103,6 +105,13 @@
     }
 }
 
+net::MemoryShare JobService::memoryFor(const JobSpec &spec) const
+{
+    net::MemoryShare share = context_.memory == nullptr ? net::MemoryShare() : net::MemoryShare(*context_.memory);
+    share.setTo(itemMemory(spec)); // An accepted job runs in any case.
+    return share;
+}
+
 std::vector<JobHost> JobService::jobHosts() const
 {
     std::vector<JobHost> hosts = context_.peers.jobHosts();
@@ -120,7 +129,7 @@
     }
     const JobSpec &spec = submission->spec;
     const std::string host = chooseJobHost(spec.model, std::move(models), jobHosts());
-    if (host == context_.node || bodyBytes(spec) > context_.settings.maxForwardBytes) {
+    if (host == context_.node || itemMemory(spec) > context_.settings.maxForwardBytes) {
         return false;
     }
     Json items = Json::array();
@@ -236,16 +245,17 @@
 
 void JobService::writeRecord(const std::shared_ptr<Submission> &submission)
 {
-    context_.store.create(RecordKind, submission->record.id, toJson(submission->record),
-                          [this, submission](const StoreReply &reply) { onRecordReply(submission, reply); });
+    context_.store.create(
+        RecordKind, submission->record.id, toJson(submission->record),
+        [this, submission, pauses = pauses_](const StoreReply &reply) { onRecordReply(submission, reply, pauses); });
 }
 
-void JobService::onRecordReply(const std::shared_ptr<Submission> &submission, const StoreReply &reply)
+void JobService::onRecordReply(const std::shared_ptr<Submission> &submission, const StoreReply &reply, int asOfPause)
 {
     if (reply.outcome == StoreOutcome::Done) {
         const std::uint64_t revision = reply.changes.empty() ? 0 : reply.changes.front().object.revision;
         if (!released_) {
-            addOwnedJob(submission->record, revision, takeItems(submission->spec), {});
+            addOwnedJob(submission->record, revision, takeItems(submission->spec), {}, asOfPause);
         }
         for (const Json &texts : submission->texts) {
             applyTexts(submission->record.id, texts);
@@ -277,7 +287,7 @@
 
 void JobService::resolveRecordConflict(const std::shared_ptr<Submission> &submission)
 {
-    context_.store.get(RecordKind, submission->record.id, [this, submission](StoreReply reply) {
+    context_.store.get(RecordKind, submission->record.id, [this, submission, pauses = pauses_](StoreReply reply) {
         if (reply.outcome != StoreOutcome::Done || reply.changes.empty()) {
             net::runAfter(context_.loop, context_.settings.storeRetryDelay,
                           [this, submission] { writeRecord(submission); });
@@ -292,7 +302,7 @@
         cachedRecords_[record->id] = {*record, object.revision, expiryTime(record->submittedMs)};
         const bool ownedHere = record->submission == submission->record.submission && isOwnedHere(*record);
         if (ownedHere && !record->ended && !released_) {
-            addOwnedJob(*record, object.revision, takeItems(submission->spec), {});
+            addOwnedJob(*record, object.revision, takeItems(submission->spec), {}, pauses);
         }
         finishSubmission(submission, resubmissionOutcome(submission->spec, *record));
         dispatchItems();
@@ -316,21 +326,23 @@
     }
 }
 
-void JobService::addOwnedJob(const JobRecord &record, std::uint64_t revision, JobSpec spec, ResultLog log)
+void JobService::addOwnedJob(const JobRecord &record, std::uint64_t revision, JobSpec spec, ResultLog log,
+                             int asOfPause)
 {
     auto owned = std::make_unique<OwnedJob>();
     owned->record = record;
     owned->revision = revision;
     owned->expiresAt = expiryTime(record.submittedMs);
-    if (context_.memory != nullptr) {
-        owned->memory = net::MemoryShare(*context_.memory);
-        owned->memory.setTo(bodyBytes(spec)); // The job runs in any case.
-    }
+    owned->memory = memoryFor(spec);
     owned->runner = std::make_shared<JobRunner>(context_, rewards_, std::move(spec), record.submittedMs, std::move(log),
                                                 JobRunner::Hooks{[this, id = record.id] { servePendingReads(id); },
                                                                  [this, id = record.id] { checkOwnership(id); }});
     loseOwnership(record.id);
     owned_[record.id] = std::move(owned);
+    if (asOfPause != pauses_) {
+        owned_[record.id]->runner->suspendSending();
+        checkOwnership(record.id);
+    }
     cachedRecords_.erase(record.id);
     cachedLogs_.erase(record.id);
     if (endedJobs_.contains(record.id)) {
@@ -342,11 +354,15 @@
 
 void JobService::checkOwnership(const std::string &jobId)
 {
-    loadRecord(jobId, true, [this, jobId](ReadOutcome outcome, const CachedRecord *cached) {
+    loadRecord(jobId, true, [this, jobId, pauses = pauses_](ReadOutcome outcome, const CachedRecord *cached) {
         const auto owned = owned_.find(jobId);
         if (owned == owned_.end()) {
             return;
         }
+        if (pauses != pauses_) {
+            checkOwnership(jobId); // The record may have changed in the pause.
+            return;
+        }
         if (cached == nullptr) {
             if (outcome == ReadOutcome::Unavailable) {
                 net::runAfter(context_.loop, context_.settings.storeRetryDelay,
@@ -525,6 +541,7 @@
 
 void JobService::onPaused()
 {
+    ++pauses_;
     for (const auto &[id, owned] : owned_) {
         owned->runner->suspendSending();
     }
--- a/src/jobs/jobservice.h
+++ b/src/jobs/jobservice.h
@@ -129,6 +129,7 @@
         Instant expiresAt;
     };
 
+    net::MemoryShare memoryFor(const JobSpec &spec) const;
     void submitAt(SubmitAt place, JobSpec spec, std::function<void(SubmitOutcome)> done);
     /// Has the node that runs the jobs of the model submit the job. Returns false if that is this node.
     bool forward(const std::shared_ptr<Submission> &submission);
@@ -138,12 +139,12 @@
     void handleForwarded(const Json &body, std::function<void(Json)> reply);
     void writePart(const std::shared_ptr<Submission> &submission, std::uint64_t part);
     void writeRecord(const std::shared_ptr<Submission> &submission);
-    void onRecordReply(const std::shared_ptr<Submission> &submission, const objects::StoreReply &reply);
+    void onRecordReply(const std::shared_ptr<Submission> &submission, const objects::StoreReply &reply, int asOfPause);
     void resolveRecordConflict(const std::shared_ptr<Submission> &submission);
     void finishSubmission(const std::shared_ptr<Submission> &submission, SubmitOutcome outcome);
     /// Begins to run a job that the store names this node as the owner of. A job whose end is known here is added
-    /// stopped.
-    void addOwnedJob(const JobRecord &record, std::uint64_t revision, JobSpec spec, ResultLog log);
+    /// stopped. `asOfPause`: value of pauses_ when the call was sent whose reply shows the ownership.
+    void addOwnedJob(const JobRecord &record, std::uint64_t revision, JobSpec spec, ResultLog log, int asOfPause);
     /// Reads the job's record from the store and stops the job here if another node owns it or it has ended.
     void checkOwnership(const std::string &jobId);
     /// Stops running a job that another node took over and answers its pending reads.
@@ -211,6 +212,7 @@
     Instant lastRecheck_;
     bool scanning_ = false;
     int sharedScansLeft_ = 0; ///< Searches to come for the jobs of nodes that had run none.
+    int pauses_ = 0; ///< Pauses of the process so far. What was read before one may have changed.
     bool released_ = false;
 };
 
--- a/src/jobs/jobstoring.cpp
+++ b/src/jobs/jobstoring.cpp
@@ -165,7 +165,7 @@
                     {"segment", segment.number},
                     {"results", segment.results.size()},
                     {"listed", log_.size()},
-                    {"total", spec_.items.size()}});
+                    {"total", tracker_.items().size()}});
     hooks_.resultsStored();
     flushIfDue();
 }
--- a/src/jobs/jobtakeover.cpp
+++ b/src/jobs/jobtakeover.cpp
@@ -368,7 +368,7 @@
     const auto loaded = std::make_shared<JobSpec>(std::move(spec));
     context_.store.replace(
         RecordKind, record.id, revision, toJson(claimed),
-        [this, claimed, loaded, log, onFailure](const StoreReply &reply) {
+        [this, claimed, loaded, log, onFailure, pauses = pauses_](const StoreReply &reply) {
             if (reply.outcome != StoreOutcome::Done || reply.changes.empty()) {
                 onFailure();
                 return;
@@ -379,7 +379,7 @@
                                     [](const absl::StatusOr<Json> &) {});
             }
             const Json keys = textKeys(*loaded);
-            addOwnedJob(claimed, reply.changes.front().object.revision, std::move(*loaded), std::move(*log));
+            addOwnedJob(claimed, reply.changes.front().object.revision, std::move(*loaded), std::move(*log), pauses);
             const std::shared_ptr<JobRunner> runner = owned_[claimed.id]->runner;
             runner->fence();
             // Items that are sent before the texts arrive are generated again from the start.
--- a/src/serving/requestrunner.cpp
+++ b/src/serving/requestrunner.cpp
@@ -324,7 +324,8 @@
                         telemetry::step(context.step),
                         {"outcome", nameOf(context.outcome)},
                         {"message", std::string(response.status().message())}});
-        if (replica != nullptr) {
+        // Lack of memory here says nothing about the replica.
+        if (replica != nullptr && response.status().code() != absl::StatusCode::kResourceExhausted) {
             replicas_.recordFailure(*replica, now);
             const bool lost = context.step == Step::ReadAnswer && context.outcome == Outcome::MayHaveRun
                 && response.status().code() != absl::StatusCode::kDeadlineExceeded;
--- a/tests/core/coretest.cpp
+++ b/tests/core/coretest.cpp
@@ -56,6 +56,21 @@
     CHECK(fieldOr<std::string>(object, "s", "x") == "x");
 }
 
+// Guards against a process that is killed for its memory by a short text with very many values.
+TEST_CASE("JSON with too many values is not read", "[core]")
+{
+    const auto list = [](std::size_t values) {
+        std::string text = "[0";
+        for (std::size_t i = 1; i < values; ++i) {
+            text += ",0";
+        }
+        return text + "]";
+    };
+    CHECK(parseJson(list(MaxJsonValues - 1)).has_value());
+    CHECK_FALSE(parseJson(list(MaxJsonValues + 1)).has_value());
+    CHECK(parseJson("\"" + std::string(2 * MaxJsonValues, ',') + "\"").has_value());
+}
+
 // Guards against a process that ends by an exhausted stack: a body of nested arrays was parsed, and then copied level
 // by level.
 TEST_CASE("JSON that is nested too deeply is not read", "[core]")
