tests: the soak stops processes that hold their signals at its end too

Trace: the output has Catch's own report of SIGTERM from a child that hadn't been executed yet: the process had been started by the last act, and the final stop, unlike the others, didn't wait until it held the signal.

--- a/tests/process/soaktest.cpp
+++ b/tests/process/soaktest.cpp
@@ -54,6 +54,7 @@
             std::this_thread::sleep_for(std::chrono::milliseconds(random_() % 20));
         }
         for (Process &process : running_) {
+            REQUIRE(awaitHeld(*process));
             process->signal(SIGTERM);
             stopping_.push_back(std::move(process));
         }
