--- a/src/jobs/jobcontext.h
+++ b/src/jobs/jobcontext.h
@@ -44,6 +44,7 @@
 
 struct JobSettings
 {
+    std::string region; ///< Of this node.
     double processorShare = 0; ///< Processor time of this node, in cores; 0 if it isn't known.
     /// Limit for a peer's answer to a submission that was forwarded to it, several store calls. Past it this node
     /// submits the job itself.
@@ -105,6 +106,9 @@
     /// Asks a replica for its weight versions; not called back without an answer. May be empty.
     std::function<void(const serving::Replica &, VersionsCallback)> queryVersions = {};
     net::MemoryBudget *memory = nullptr; ///< Counts the bodies of owned jobs; null for none.
+    /// The object store for calls that carry bodies: it is reached directly or through peers in these regions. If
+    /// empty, `store` is used.
+    std::function<objects::ObjectPort(const serving::RegionSet &)> storeWithin = {};
 };
 
 } // namespace currantlug::jobs
--- a/src/jobs/jobplacement.cpp
+++ b/src/jobs/jobplacement.cpp
@@ -30,6 +30,12 @@
 
 } // namespace
 
+std::vector<JobHost> hostsIn(const serving::RegionSet &regions, std::vector<JobHost> hosts)
+{
+    std::erase_if(hosts, [&regions](const JobHost &host) { return !regions.allows(host.region); });
+    return hosts;
+}
+
 std::string chooseJobHost(std::string_view model, std::vector<std::string> models, const std::vector<JobHost> &hosts)
 {
     models.emplace_back(model);
--- a/src/jobs/jobplacement.h
+++ b/src/jobs/jobplacement.h
@@ -8,6 +8,8 @@
 #ifndef CURRANTLUG_JOBS_JOBPLACEMENT_H
 #define CURRANTLUG_JOBS_JOBPLACEMENT_H
 
+#include "serving/regionset.h"
+
 #include <string>
 #include <string_view>
 #include <vector>
@@ -20,8 +22,12 @@
     std::string node;
     double processorShare = 0; ///< Processor time of the node, in cores; 0 if it isn't known.
     bool acceptsJobs = true; ///< False for a node that has no configuration or doesn't reach the object store.
+    std::string region = {};
 };
 
+/// The hosts in the given regions: only they may be sent the bodies of a job.
+std::vector<JobHost> hostsIn(const serving::RegionSet &regions, std::vector<JobHost> hosts);
+
 /// Returns the node that runs the jobs of `model`: one of the hosts that accept jobs, with the largest processor share.
 /// `models` are all models in the configuration; different models get different nodes while there are enough. Empty if
 /// no host accepts jobs.
--- a/src/jobs/jobreading.cpp
+++ b/src/jobs/jobreading.cpp
@@ -253,21 +253,21 @@
         done(complete, std::move(*spec));
         return;
     }
-    context_.store.get(
-        PartKind, partName(record.id, part),
-        [this, record, part, spec, done = std::move(done)](const StoreReply &reply) {
-            if (reply.outcome != StoreOutcome::Done || reply.changes.empty()) {
-                logReadFailure(record.id, "items", reply);
-                done(false, {});
-                return;
-            }
-            if (!readJobPart(reply.changes.front().object.value, *spec)) {
-                telemetry::log(Level::Error, "job", "items_unreadable", {{"job", record.id}, {"part", part}});
-                done(false, {});
-                return;
-            }
-            loadPart(record, part + 1, spec, done);
-        });
+    storeFor(regionsOf(record.host, record.path, record.workspace))
+        .get(PartKind, partName(record.id, part),
+             [this, record, part, spec, done = std::move(done)](const StoreReply &reply) {
+                 if (reply.outcome != StoreOutcome::Done || reply.changes.empty()) {
+                     logReadFailure(record.id, "items", reply);
+                     done(false, {});
+                     return;
+                 }
+                 if (!readJobPart(reply.changes.front().object.value, *spec)) {
+                     telemetry::log(Level::Error, "job", "items_unreadable", {{"job", record.id}, {"part", part}});
+                     done(false, {});
+                     return;
+                 }
+                 loadPart(record, part + 1, spec, done);
+             });
 }
 
 } // namespace currantlug::jobs
--- a/src/jobs/jobrunner.cpp
+++ b/src/jobs/jobrunner.cpp
@@ -50,6 +50,23 @@
     return config == nullptr ? nullptr : config->findRoute(spec_.host, spec_.path);
 }
 
+const serving::RegionSet &JobRunner::regions()
+{
+    const serving::GatewayConfig *config = context_.config();
+    if (config != nullptr && (regionsRevision_ == 0 || config->revision != regionsRevision_)) {
+        regionsRevision_ = config->revision;
+        regions_ = {};
+        std::set<std::string_view> routes; // An item may be on a longer prefix than its job.
+        for (const Item &item : tracker_.items()) {
+            const serving::Route *route = config->findRoute(spec_.host, net::pathOf(item.spec.path));
+            if (route != nullptr && routes.insert(route->pathPrefix).second) {
+                regions_ = regions_.intersect(config->allowedRegions(*route, spec_.workspace));
+            }
+        }
+    }
+    return regions_;
+}
+
 bool JobRunner::singleVersion() const
 {
     const serving::Route *route = this->route();
@@ -133,6 +150,7 @@
     need.model = spec_.model;
     need.minVersion = spec_.minVersion;
     need.plan = &context_.modelPlan();
+    need.regions = regions();
     if (const auto found = groupReplica_.find(item.spec.group); found != groupReplica_.end()) {
         need.preferred = found->second;
     }
@@ -166,6 +184,7 @@
         need.model = spec_.model;
         need.minVersion = spec_.minVersion;
         need.plan = &context_.modelPlan();
+        need.regions = regions();
         for (const std::string &id : watch.replicasToQuery(context_.replicas, need, now)) {
             const serving::Replica *replica = context_.replicas.find(id);
             context_.queryVersions(
@@ -458,6 +477,7 @@
     serving::ReplicaTable::ItemRequirements need;
     need.model = spec_.model;
     need.minVersion = spec_.minVersion;
+    need.regions = regions();
     absl::Duration fastGap; // Event gap of the fast replicas for `need`, once `need` names a service.
     for (std::size_t index = 0; index < tracker_.items().size(); ++index) {
         Item &item = tracker_.items()[index];
--- a/src/jobs/jobrunner.h
+++ b/src/jobs/jobrunner.h
@@ -90,6 +90,8 @@
     void onExistingSegment(const objects::StoreReply &reply);
     void applySegment(const Segment &segment);
     const serving::Route *route() const;
+    /// Regions in which the items may run, by the configuration in force.
+    const serving::RegionSet &regions();
     /// True if the route requires the text of an item to be of a single weight version.
     bool singleVersion() const;
     /// True if text of this weight version must not be appended to the text of the item.
@@ -111,6 +113,8 @@
     std::optional<Segment> pendingSegment_; ///< Being stored; unchanged until the outcome of the write is known.
     Instant lastFlushAt_;
     Instant heldUntil_; ///< No item is sent before this time.
+    serving::RegionSet regions_;
+    std::uint64_t regionsRevision_ = 0; ///< Revision of the configuration that regions_ was computed from; 0 for none.
     bool stopped_ = false;
     bool fencePending_ = false;
     bool sendingSuspended_ = false;
--- a/src/jobs/jobservice.cpp
+++ b/src/jobs/jobservice.cpp
@@ -115,10 +115,23 @@
 std::vector<JobHost> JobService::jobHosts() const
 {
     std::vector<JobHost> hosts = context_.peers.jobHosts();
-    hosts.push_back({context_.node, context_.settings.processorShare});
+    hosts.push_back({context_.node, context_.settings.processorShare, true, context_.settings.region});
     return hosts;
 }
 
+serving::RegionSet JobService::regionsOf(const std::string &host, const std::string &path,
+                                         const std::string &workspace) const
+{
+    const serving::GatewayConfig *config = context_.config();
+    const serving::Route *route = config == nullptr ? nullptr : config->findRoute(host, path);
+    return route == nullptr ? serving::RegionSet() : config->allowedRegions(*route, workspace);
+}
+
+objects::ObjectPort JobService::storeFor(const serving::RegionSet &regions) const
+{
+    return regions.isUnrestricted() || !context_.storeWithin ? context_.store : context_.storeWithin(regions);
+}
+
 bool JobService::forward(const std::shared_ptr<Submission> &submission)
 {
     std::vector<std::string> models;
@@ -128,8 +141,10 @@
         }
     }
     const JobSpec &spec = submission->spec;
-    const std::string host = chooseJobHost(spec.model, std::move(models), jobHosts());
-    if (host == context_.node || itemMemory(spec) > context_.settings.maxForwardBytes) {
+    const std::string host = chooseJobHost(spec.model, std::move(models),
+                                           hostsIn(regionsOf(spec.host, spec.path, spec.workspace), jobHosts()));
+    // Without a host at home the job runs here: the client itself has sent its bodies to this node.
+    if (host.empty() || host == context_.node || itemMemory(spec) > context_.settings.maxForwardBytes) {
         return false;
     }
     Json items = Json::array();
@@ -225,22 +240,24 @@
          ++index) {
         items.push_back(toJson(spec.items[index]));
     }
-    context_.store.create(
-        PartKind, partName(submission->record.id, part), {{"head", jobHeaderToJson(spec)}, {"items", std::move(items)}},
-        [this, submission, part](const StoreReply &reply) {
-            // A repeated submission writes the same items, so an existing part can be used.
-            if (reply.outcome == StoreOutcome::Done || reply.outcome == StoreOutcome::Conflict) {
-                writePart(submission, part + 1);
-                return;
-            }
-            if (reply.outcome == StoreOutcome::Unknown
-                && net::loopNow() - submission->startedAt < context_.settings.submitTimeout) {
-                net::runAfter(context_.loop, context_.settings.storeRetryDelay,
-                              [this, submission, part] { writePart(submission, part); });
-                return;
-            }
-            finishSubmission(submission, submission->recordMayExist ? SubmitOutcome::Unknown : SubmitOutcome::Refused);
-        });
+    storeFor(regionsOf(spec.host, spec.path, spec.workspace))
+        .create(PartKind, partName(submission->record.id, part),
+                {{"head", jobHeaderToJson(spec)}, {"items", std::move(items)}},
+                [this, submission, part](const StoreReply &reply) {
+                    // A repeated submission writes the same items, so an existing part can be used.
+                    if (reply.outcome == StoreOutcome::Done || reply.outcome == StoreOutcome::Conflict) {
+                        writePart(submission, part + 1);
+                        return;
+                    }
+                    if (reply.outcome == StoreOutcome::Unknown
+                        && net::loopNow() - submission->startedAt < context_.settings.submitTimeout) {
+                        net::runAfter(context_.loop, context_.settings.storeRetryDelay,
+                                      [this, submission, part] { writePart(submission, part); });
+                        return;
+                    }
+                    finishSubmission(submission,
+                                     submission->recordMayExist ? SubmitOutcome::Unknown : SubmitOutcome::Refused);
+                });
 }
 
 void JobService::writeRecord(const std::shared_ptr<Submission> &submission)
--- a/src/jobs/jobservice.h
+++ b/src/jobs/jobservice.h
@@ -130,6 +130,11 @@
     };
 
     net::MemoryShare memoryFor(const JobSpec &spec) const;
+    /// Regions in which a job may run and its bodies may be kept, by the configuration in force. If it has no such
+    /// route, items can't run at all.
+    serving::RegionSet regionsOf(const std::string &host, const std::string &path, const std::string &workspace) const;
+    /// The object store for calls that carry bodies.
+    objects::ObjectPort storeFor(const serving::RegionSet &regions) const;
     void submitAt(SubmitAt place, JobSpec spec, std::function<void(SubmitOutcome)> done);
     /// Has the node that runs the jobs of the model submit the job. Returns false if that is this node.
     bool forward(const std::shared_ptr<Submission> &submission);
@@ -182,8 +187,9 @@
     bool isScanner(std::size_t scanners) const;
     void planSharedScan();
     void onOrphanScanReply(objects::StoreReply reply);
-    /// Nodes that may take over the jobs of a lost owner, best first, by the view of this node. Not empty.
-    std::vector<std::string> successorsOf(const std::string &owner) const;
+    /// Nodes that may take over jobs of a lost owner, best first, by the view of this node. Empty only if no node is in
+    /// the given regions.
+    std::vector<std::string> successorsOf(const std::string &owner, const serving::RegionSet &regions = {}) const;
     std::vector<JobHost> jobHosts() const; ///< This node and its live peers.
     /// Loads the job, and claims it last: an end that is stored meanwhile changes the record, so that the claim fails.
     void takeOver(const JobRecord &record, std::uint64_t revision);
--- a/src/jobs/jobtakeover.cpp
+++ b/src/jobs/jobtakeover.cpp
@@ -229,9 +229,9 @@
 
 // Takeovers
 
-std::vector<std::string> JobService::successorsOf(const std::string &owner) const
+std::vector<std::string> JobService::successorsOf(const std::string &owner, const serving::RegionSet &regions) const
 {
-    return jobs::successorsOf(owner, jobHosts());
+    return jobs::successorsOf(owner, hostsIn(regions, jobHosts()));
 }
 
 bool JobService::isScanner(std::size_t scanners) const
@@ -311,9 +311,17 @@
             takeOver(*record, change.object.revision);
             continue;
         }
-        const std::string successor = successorsOf(record->owner).front();
+        const serving::RegionSet regions = regionsOf(record->host, record->path, record->workspace);
+        const std::vector<std::string> successors = successorsOf(record->owner, regions);
         const Instant since = orphanedSince_.emplace(record->id, now).first->second;
-        if (successor == context_.node || now - since >= SuccessorTime) {
+        if (successors.empty()) {
+            telemetry::log(Level::Warning, "job", "no_successor_at_home",
+                           {{"job", record->id}, {"owner", record->owner}});
+            continue;
+        }
+        const std::string &successor = successors.front();
+        const bool waitedLong = now - since >= SuccessorTime && regions.allows(context_.settings.region);
+        if (successor == context_.node || waitedLong) {
             orphanedSince_.erase(record->id);
             takeOver(*record, change.object.revision);
         } else {
--- a/src/jobs/rewardcaller.cpp
+++ b/src/jobs/rewardcaller.cpp
@@ -51,6 +51,7 @@
     call.reward = reward;
     call.itemId = itemId;
     call.service = service;
+    call.regions = route.homes;
     call.startedAt = now;
     call.deadline = now + std::min({context_.settings.rewardTimeout, route.timeout, timeLeft});
     call.done = std::move(done);
@@ -78,7 +79,7 @@
 {
     Call &call = calls_.at(id);
     const Instant now = net::loopNow();
-    serving::Replica *replica = context_.replicas.chooseForBackground(call.service, call.tried, now);
+    serving::Replica *replica = context_.replicas.chooseForBackground(call.service, call.tried, now, call.regions);
     if (replica == nullptr || now >= call.deadline) {
         return false;
     }
--- a/src/jobs/rewardcaller.h
+++ b/src/jobs/rewardcaller.h
@@ -56,6 +56,7 @@
         RewardSpec reward;
         std::string itemId;
         std::string service;
+        serving::RegionSet regions; ///< Where it may be sent.
         Instant startedAt;
         Instant deadline; ///< Sent to the replicas; the call ends then.
         std::vector<Attempt> attempts;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -170,6 +170,7 @@
         [this] { return mesh_.jobHosts(); }};
     jobs::JobSettings jobSettings;
     jobSettings.processorShare = settings_.processorShare;
+    jobSettings.region = settings_.region;
     jobSettings.retention = settings_.jobRetention;
     jobs_ = std::make_unique<jobs::JobService>(jobs::JobContext{
         loop, replicas_, binding_.replicas, relayedStore_.port(), peers, config,
@@ -186,7 +187,7 @@
                                        }
                                    });
         },
-        binding_.memory});
+        binding_.memory, [this](const serving::RegionSet &regions) { return relayedStore_.port(regions); }});
     control::ControllerContext context{
         loop,
         replicas_,
@@ -331,8 +332,10 @@
     return config_ ? config_->limits : net::ServerLimits{};
 }
 
-std::vector<std::string> Node::addressesFor(const std::string &region, const std::string &availabilityZone) const
+std::vector<std::string> Node::addressesFor(const std::string &host, const std::string &region,
+                                            const std::string &availabilityZone) const
 {
+    const serving::RegionSet homes = config_ ? config_->homesOfHost(host) : serving::RegionSet();
     std::vector<NodeInfo> nodes = mesh_.contacts();
     nodes.push_back(info());
     std::vector<std::string> addresses;
@@ -347,7 +350,8 @@
         return addresses.size() >= MinAddresses;
     };
     if (!addMatching([&](const NodeInfo &node) { return node.availabilityZone == availabilityZone; })
-        && !addMatching([&](const NodeInfo &node) { return node.region == region; })) {
+        && !addMatching([&](const NodeInfo &node) { return node.region == region; })
+        && !addMatching([&](const NodeInfo &node) { return homes.allows(node.region); })) {
         addMatching([](const NodeInfo &) { return true; });
     }
     return addresses;
@@ -429,13 +433,18 @@
         return;
     }
     if (route->kind != serving::RouteKind::Rollout) {
-        requests_.run(std::move(request), *route, workspace, std::move(sink));
+        requests_.run(std::move(request), *route, workspace, config_->allowedRegions(*route, workspace),
+                      std::move(sink));
         return;
     }
     if (!configCurrent()) {
         refuseTemporarily(request, sink, "the object store can't be reached");
         return;
     }
+    if (config_->allowedRegions(*route, workspace).isNowhere()) {
+        refuseTemporarily(request, sink, "no region is allowed by both the route and the workspace");
+        return;
+    }
     const std::string jobId = request.id;
     auto spec = binding_.parseJob(std::move(request), workspace);
     if (!spec.ok()) {
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -97,9 +97,11 @@
     void addSeeds(const std::vector<std::string> &seeds);
 
     bool ready() const;
-    /// Front addresses for a client: those of its availability zone, then those of its region, then all others. Farther
-    /// ones are included only if the nearer ones are too few.
-    std::vector<std::string> addressesFor(const std::string &region, const std::string &availabilityZone) const;
+    /// Front addresses for a client of a host: those of its availability zone, then those of its region, then those in
+    /// the home regions of the host's routes, then all others. Farther ones are included only if the nearer ones are
+    /// too few.
+    std::vector<std::string> addressesFor(const std::string &host, const std::string &region,
+                                          const std::string &availabilityZone) const;
     /// TTL sent to clients with the addresses of addressesFor().
     absl::Duration addressTtl() const;
     /// Server limits of the configuration in force, or the defaults as long as there is none.
--- a/src/node/peermesh.cpp
+++ b/src/node/peermesh.cpp
@@ -438,7 +438,7 @@
     std::vector<jobs::JobHost> hosts;
     for (const NodeInfo &info : contacts()) {
         if (!info.stopping) {
-            hosts.push_back({info.name, info.processorShare, info.ready && info.storeReached});
+            hosts.push_back({info.name, info.processorShare, info.ready && info.storeReached, info.region});
         }
     }
     return hosts;
@@ -493,10 +493,10 @@
     return names;
 }
 
-std::string PeerMesh::peerWithStore() const
+std::string PeerMesh::peerWithStore(const serving::RegionSet &regions) const
 {
     for (const auto &[name, peer] : peers_) {
-        if (inContact(peer) && peer.info.storeReached) {
+        if (inContact(peer) && peer.info.storeReached && regions.allows(peer.info.region)) {
             return name;
         }
     }
--- a/src/node/peermesh.h
+++ b/src/node/peermesh.h
@@ -115,8 +115,8 @@
     std::vector<std::string> outOfContact() const;
     /// Time at which a peer was last found, lost, restarted or began to stop.
     Instant membershipChangedAt() const { return membershipChangedAt_; }
-    /// Name of a peer in contact that reaches the object store; empty if there is none.
-    std::string peerWithStore() const;
+    /// Name of a peer in contact, in these regions, that reaches the object store; empty if there is none.
+    std::string peerWithStore(const serving::RegionSet &regions = {}) const;
 
 private:
     struct Peer
--- a/src/node/relayedstore.cpp
+++ b/src/node/relayedstore.cpp
@@ -84,16 +84,17 @@
                });
 }
 
-void RelayedStore::callWithFallback(const Json &call, const DirectCall &direct, StoreCallback done)
+void RelayedStore::callWithFallback(const Json &call, const serving::RegionSet &regions, const DirectCall &direct,
+                                    StoreCallback done)
 {
-    const std::string peer = mesh_.peerWithStore();
+    const std::string peer = mesh_.peerWithStore(regions);
     if (!peer.empty() && (!storeReached_() || net::loopNow() < nextDirectCall_)) {
         callThroughPeer(peer, call, StoreOutcome::Refused, std::move(done));
         return;
     }
-    direct([this, call, done = std::move(done)](const StoreReply &reply) {
+    direct([this, call, regions, done = std::move(done)](const StoreReply &reply) {
         const bool failed = reply.outcome == StoreOutcome::Refused || reply.outcome == StoreOutcome::Unknown;
-        const std::string other = failed ? mesh_.peerWithStore() : std::string();
+        const std::string other = failed ? mesh_.peerWithStore(regions) : std::string();
         if (other.empty()) {
             done(reply);
             return;
@@ -103,29 +104,30 @@
     });
 }
 
-objects::ObjectPort RelayedStore::port()
+objects::ObjectPort RelayedStore::port(const serving::RegionSet &regions)
 {
     objects::ObjectPort port = direct_;
-    port.get = [this](const std::string &kind, const std::string &name, StoreCallback done) {
+    port.get = [this, regions](const std::string &kind, const std::string &name, StoreCallback done) {
         callWithFallback(
-            {{"op", "get"}, {"kind", kind}, {"name", name}},
+            {{"op", "get"}, {"kind", kind}, {"name", name}}, regions,
             [this, kind, name](const StoreCallback &then) { direct_.get(kind, name, then); }, std::move(done));
     };
-    port.list = [this](const std::string &kind, const std::string &after, StoreCallback done) {
+    port.list = [this, regions](const std::string &kind, const std::string &after, StoreCallback done) {
         callWithFallback(
-            {{"op", "list"}, {"kind", kind}, {"name", after}},
+            {{"op", "list"}, {"kind", kind}, {"name", after}}, regions,
             [this, kind, after](const StoreCallback &then) { direct_.list(kind, after, then); }, std::move(done));
     };
-    port.create = [this](const std::string &kind, const std::string &name, const Json &value, StoreCallback done) {
+    port.create = [this, regions](const std::string &kind, const std::string &name, const Json &value,
+                                  StoreCallback done) {
         callWithFallback(
-            {{"op", "create"}, {"kind", kind}, {"name", name}, {"value", value}},
+            {{"op", "create"}, {"kind", kind}, {"name", name}, {"value", value}}, regions,
             [this, kind, name, value](const StoreCallback &then) { direct_.create(kind, name, value, then); },
             std::move(done));
     };
-    port.replace = [this](const std::string &kind, const std::string &name, std::uint64_t revision, const Json &value,
-                          StoreCallback done) {
+    port.replace = [this, regions](const std::string &kind, const std::string &name, std::uint64_t revision,
+                                   const Json &value, StoreCallback done) {
         callWithFallback(
-            {{"op", "replace"}, {"kind", kind}, {"name", name}, {"revision", revision}, {"value", value}},
+            {{"op", "replace"}, {"kind", kind}, {"name", name}, {"revision", revision}, {"value", value}}, regions,
             [this, kind, name, revision, value](const StoreCallback &then) {
                 direct_.replace(kind, name, revision, value, then);
             },
--- a/src/node/relayedstore.h
+++ b/src/node/relayedstore.h
@@ -30,7 +30,8 @@
     RelayedStore(objects::ObjectPort direct, PeerMesh &mesh, std::function<bool()> storeReached);
 
     /// Port whose get, list, create and replace calls can be relayed. The other calls are always direct.
-    objects::ObjectPort port();
+    /// Calls are relayed only by peers in these regions, since calls and replies may carry bodies of requests.
+    objects::ObjectPort port(const serving::RegionSet &regions = {});
 
     /// Executes a call relayed by a peer. Returns false if the operation is unknown.
     static bool serve(const objects::ObjectPort &direct, const Json &body, std::function<void(Json)> reply);
@@ -39,7 +40,8 @@
     using DirectCall = std::function<void(const objects::StoreCallback &)>;
 
     /// Tries the call directly or through a peer, as described for the class.
-    void callWithFallback(const Json &call, const DirectCall &direct, objects::StoreCallback done);
+    void callWithFallback(const Json &call, const serving::RegionSet &regions, const DirectCall &direct,
+                          objects::StoreCallback done);
     /// `directOutcome` is the outcome of the direct call, or Refused if none was made.
     void callThroughPeer(const std::string &peer, const Json &call, objects::StoreOutcome directOutcome,
                          objects::StoreCallback done);
--- a/src/serving/gatewayconfig.cpp
+++ b/src/serving/gatewayconfig.cpp
@@ -5,11 +5,22 @@
 
 #include <absl/strings/match.h>
 
+#include <algorithm>
+
 namespace currantlug::serving {
 
+namespace {
+
+std::string withoutPort(std::string_view host)
+{
+    return std::string(host.substr(0, host.find(':')));
+}
+
+} // namespace
+
 const Route *GatewayConfig::findRoute(std::string_view host, std::string_view path) const
 {
-    const std::string hostName(host.substr(0, host.find(':')));
+    const std::string hostName = withoutPort(host);
     const Route *best = nullptr;
     for (const Route &route : routes) {
         const bool matches = path.substr(0, route.pathPrefix.size()) == route.pathPrefix;
@@ -33,6 +44,25 @@
     return found == workspaceByKey.end() ? nullptr : &workspaces[found->second];
 }
 
+RegionSet GatewayConfig::allowedRegions(const Route &route, std::string_view workspace) const
+{
+    const auto found = std::find_if(workspaces.begin(), workspaces.end(),
+                                    [workspace](const Workspace &entry) { return entry.name == workspace; });
+    return found == workspaces.end() ? route.homes : route.homes.intersect(found->homes);
+}
+
+RegionSet GatewayConfig::homesOfHost(std::string_view host) const
+{
+    const std::string hostName = withoutPort(host);
+    std::optional<RegionSet> homes;
+    for (const Route &route : routes) {
+        if (absl::EqualsIgnoreCase(route.host, hostName)) {
+            homes = homes ? homes->unite(route.homes) : route.homes;
+        }
+    }
+    return homes.value_or(RegionSet());
+}
+
 const std::string &GatewayConfig::pickService(const Route &route, std::string_view seed)
 {
     std::uint64_t totalWeight = 0;
--- a/src/serving/gatewayconfig.h
+++ b/src/serving/gatewayconfig.h
@@ -4,6 +4,7 @@
 
 #include "core/enumnames.h"
 #include "net/httpserver.h"
+#include "serving/regionset.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/time/time.h>
@@ -46,6 +47,7 @@
     bool resumable = false;
     absl::Duration queueTtl = absl::InfiniteDuration(); ///< Jobs: items may be abandoned this long after submission.
     absl::Duration resultDue = absl::InfiniteDuration(); ///< Jobs: results are due this long after submission.
+    RegionSet homes; ///< Where the requests of the route may be served and stored.
     bool singleVersion = false; ///< Jobs: the whole text of an item must come from one weight version.
 
     bool repeatable() const { return kind == RouteKind::Safe || (kind == RouteKind::Stream && resumable); }
@@ -70,6 +72,7 @@
 {
     std::string name;
     std::optional<int> priority;
+    RegionSet homes; ///< Where the requests of the workspace may be served and stored.
 };
 
 class GatewayConfig
@@ -89,6 +92,12 @@
     /// True if items of jobs may be sent to this path of the host.
     bool isRolloutPath(std::string_view host, std::string_view path) const;
     const Workspace *findWorkspaceByKey(std::string_view key) const;
+    /// Regions in which the requests of a route and a workspace may be served and stored: those that both allow. A
+    /// workspace that isn't configured, such as the empty name, allows all regions.
+    RegionSet allowedRegions(const Route &route, std::string_view workspace) const;
+    /// Regions that any route of the host allows. All regions if a route of the host has no homes, or the host no
+    /// route.
+    RegionSet homesOfHost(std::string_view host) const;
     /// Picks a service of the route, which must have one, by weight and a hash of `seed`; the same `seed` always yields
     /// the same service.
     static const std::string &pickService(const Route &route, std::string_view seed);
--- a/src/serving/replicatable.cpp
+++ b/src/serving/replicatable.cpp
@@ -133,23 +133,33 @@
     return replica != nullptr && incarnationOf(replica->entry) == incarnation ? replica : nullptr;
 }
 
+std::string_view ReplicaTable::regionOf(const Replica &replica) const
+{
+    const auto found = settings_.regionOfZone.find(replica.entry.availabilityZone);
+    return found == settings_.regionOfZone.end() ? std::string_view() : std::string_view(found->second);
+}
+
+bool ReplicaTable::isEligible(const Replica &replica, const RegionSet &regions, Instant now) const
+{
+    return replica.acceptsRequests() && replica.removeAt > now && regions.allows(regionOf(replica));
+}
+
 int ReplicaTable::zoneDistance(const Replica &replica) const
 {
     if (replica.entry.availabilityZone == settings_.availabilityZone) {
         return 0;
     }
-    const auto found = settings_.regionOfZone.find(replica.entry.availabilityZone);
-    return found != settings_.regionOfZone.end() && found->second == settings_.region ? 1 : 2;
+    const std::string_view region = regionOf(replica);
+    return !region.empty() && region == settings_.region ? 1 : 2;
 }
 
 Replica *ReplicaTable::chooseForRequest(std::string_view service, const std::set<std::string> &tried, Instant now,
-                                        const LimitedReplicas &limited)
+                                        const LimitedReplicas &limited, const RegionSet &regions)
 {
     Replica *best = nullptr;
     std::tuple<bool, bool, bool, absl::Duration, int, int> bestRank;
     for (auto &[id, replica] : replicas_) {
-        if (replica.entry.service != service || !replica.acceptsRequests() || replica.removeAt <= now
-            || tried.contains(id)) {
+        if (replica.entry.service != service || !isEligible(replica, regions, now) || tried.contains(id)) {
             continue;
         }
         absl::Duration permitWait;
@@ -199,12 +209,12 @@
     replica.permitRequested = false;
 }
 
-std::optional<absl::Duration> ReplicaTable::nextPermitIn(std::string_view service, Instant now) const
+std::optional<absl::Duration> ReplicaTable::nextPermitIn(std::string_view service, Instant now,
+                                                         const RegionSet &regions) const
 {
     std::optional<absl::Duration> next;
     for (const auto &[id, replica] : replicas_) {
-        if (replica.entry.service == service && replica.requestLimit && replica.acceptsRequests()
-            && replica.removeAt > now) {
+        if (replica.entry.service == service && replica.requestLimit && isEligible(replica, regions, now)) {
             next = std::min(next.value_or(absl::InfiniteDuration()),
                             std::max(absl::ZeroDuration(), replica.nextPermitAt - now));
         }
@@ -234,14 +244,15 @@
     return std::max(replica.inFlight, replica.load.running + replica.load.waiting);
 }
 
-Replica *ReplicaTable::chooseForBackground(std::string_view service, const std::set<std::string> &tried, Instant now)
+Replica *ReplicaTable::chooseForBackground(std::string_view service, const std::set<std::string> &tried, Instant now,
+                                           const RegionSet &regions)
 {
     Replica *best = nullptr;
     std::tuple<bool, int, int> bestRank;
     std::vector<Replica *> withoutPermit;
     for (auto &[id, replica] : replicas_) {
-        if (replica.entry.service != service || !replica.acceptsRequests() || replica.removeAt <= now
-            || replica.backoffUntil > now || tried.contains(id)) {
+        if (replica.entry.service != service || !isEligible(replica, regions, now) || replica.backoffUntil > now
+            || tried.contains(id)) {
             continue;
         }
         const int load = knownLoad(replica, now);
@@ -266,7 +277,8 @@
 
 bool ReplicaTable::canRun(const Replica &replica, const ItemRequirements &requirements) const
 {
-    if (replica.entry.service != requirements.service || !replica.acceptsRequests()) {
+    if (replica.entry.service != requirements.service || !replica.acceptsRequests()
+        || !requirements.regions.allows(regionOf(replica))) {
         return false;
     }
     const auto version = replica.entry.weightVersions.find(requirements.model);
--- a/src/serving/replicatable.h
+++ b/src/serving/replicatable.h
@@ -7,6 +7,7 @@
 #define CURRANTLUG_SERVING_REPLICATABLE_H
 
 #include "serving/permitissuer.h"
+#include "serving/regionset.h"
 #include "serving/replica.h"
 
 #include <map>
@@ -90,11 +91,13 @@
     /// Returns the best replica of a service for a client request: not leaving, not in `tried`, with low load and
     /// nearby. Replicas in backoff come last, and those with a request limit after the others. Null if there is none.
     Replica *chooseForRequest(std::string_view service, const std::set<std::string> &tried, Instant now,
-                              const LimitedReplicas &limited = {true, absl::InfiniteDuration()});
+                              const LimitedReplicas &limited = {true, absl::InfiniteDuration()},
+                              const RegionSet &regions = {});
 
     /// Returns the best replica of a service for a background call, which must not delay client requests: a third of
     /// the slots of each replica stays free, and replicas in backoff are left out. Null if there is none.
-    Replica *chooseForBackground(std::string_view service, const std::set<std::string> &tried, Instant now);
+    Replica *chooseForBackground(std::string_view service, const std::set<std::string> &tried, Instant now,
+                                 const RegionSet &regions = {});
 
     struct ItemRequirements
     {
@@ -102,6 +105,7 @@
         std::string model;
         std::uint64_t minVersion = 0;
         std::uint64_t exactVersion = 0; ///< If not 0, only this weight version is allowed.
+        RegionSet regions; ///< Only replicas in these regions are allowed.
         std::string preferred; ///< Replica that already has the prompt of the item's group; may be empty.
         const std::map<std::string, std::string> *plan = nullptr; ///< Planned model by replica, from the leader.
     };
@@ -119,7 +123,8 @@
     /// Adds permits issued to this node for later use.
     void addPermits(Replica &replica, const PermitReply &reply, Instant now) const;
     /// Time until a replica of the service with a request limit may have a permit; none if there is no such replica.
-    std::optional<absl::Duration> nextPermitIn(std::string_view service, Instant now) const;
+    std::optional<absl::Duration> nextPermitIn(std::string_view service, Instant now,
+                                               const RegionSet &regions = {}) const;
     /// Replicas whose permits items or background calls wait for. The caller requests some; each is returned again only
     /// after addPermits().
     std::vector<Replica *> takePermitsWanted(Instant now);
@@ -132,6 +137,10 @@
     void recordRefusal(Replica &replica, const std::optional<ReplicaLoad> &load, Instant now);
 
 private:
+    /// Region of the replica; empty if its availability zone isn't known.
+    std::string_view regionOf(const Replica &replica) const;
+    /// True if new work for these regions may be sent to the replica, as far as it doesn't depend on its load.
+    bool isEligible(const Replica &replica, const RegionSet &regions, Instant now) const;
     int zoneDistance(const Replica &replica) const;
     /// Number of requests at the replica, as far as known: those of this node, or more if the replica reported more.
     int knownLoad(const Replica &replica, Instant now) const;
--- a/src/serving/requestrunner.cpp
+++ b/src/serving/requestrunner.cpp
@@ -29,6 +29,7 @@
     std::string routeName;
     std::string service;
     std::string workspace;
+    RegionSet regions;
     std::string digest; ///< Computed when it is needed first.
     Instant deadline; ///< When the final response is due.
     absl::Duration hedgeDelay;
@@ -65,7 +66,8 @@
 {
 }
 
-void RequestRunner::run(InboundRequest request, const Route &route, const std::string &workspace, ResponseSink sink)
+void RequestRunner::run(InboundRequest request, const Route &route, const std::string &workspace,
+                        const RegionSet &regions, ResponseSink sink)
 {
     const auto active = std::make_shared<ActiveRequest>(loop_);
     active->sink = std::move(sink);
@@ -75,6 +77,7 @@
     active->routeName = route.name;
     active->service = GatewayConfig::pickService(route, request.id);
     active->workspace = workspace;
+    active->regions = regions;
     const absl::Duration clientTimeout = request.deadline.value_or(settings_.defaultTimeout);
     const absl::Duration limit = std::min(clientTimeout, route.timeout);
     active->deadline = request.arrived + limit - std::min(settings_.responseMargin, limit * 0.1);
@@ -87,6 +90,14 @@
             finish(locked, "client_gone", 0);
         }
     });
+    if (regions.isNowhere()) {
+        telemetry::log(Level::Warning, "request", "no_region",
+                       {telemetry::requestId(active->request.id), {"route", route.name}, {"workspace", workspace}});
+        rejectRequest(active->sink, 503, "no region is allowed by both the route and the workspace",
+                      settings_.configRetryAfter);
+        finish(active, "no_region", 503);
+        return;
+    }
     if (refuseCrashing(active)) {
         return;
     }
@@ -130,7 +141,7 @@
     ReplicaTable::LimitedReplicas limited;
     limited.allowed = !active->anyPending();
     limited.maxPermitWait = permitWaitNow(*active);
-    Replica *replica = replicas_.chooseForRequest(active->service, active->tried, now, limited);
+    Replica *replica = replicas_.chooseForRequest(active->service, active->tried, now, limited, active->regions);
     if (replica == nullptr) {
         if (!active->anyPending()) {
             refuseWithoutReplica(active);
@@ -151,7 +162,7 @@
 void RequestRunner::refuseWithoutReplica(const ActiveRequestPtr &active)
 {
     const int status = active->mayHaveRun ? 502 : 503;
-    const auto permitIn = replicas_.nextPermitIn(active->service, net::loopNow());
+    const auto permitIn = replicas_.nextPermitIn(active->service, net::loopNow(), active->regions);
     if (!permitIn) {
         rejectRequest(active->sink, status, "no replica available", settings_.retryAfter);
         finish(active, "no_replica", status);
--- a/src/serving/requestrunner.h
+++ b/src/serving/requestrunner.h
@@ -41,6 +41,8 @@
     absl::Duration defaultTimeout = absl::Seconds(30); ///< Used if the client states no deadline.
     /// Sent with the refusal of a request that crashes replicas. It is refused for minutes.
     absl::Duration crashRetryAfter = absl::Seconds(60);
+    /// Sent with a refusal that only another configuration can lift.
+    absl::Duration configRetryAfter = absl::Seconds(5);
     int checkTries = 3; ///< Checks of a replica that lost a connection, while their outcome isn't known.
     absl::Duration checkRetryDelay = absl::Milliseconds(100);
     /// The final response is sent this long before the deadline, so that it arrives in time.
@@ -64,7 +66,9 @@
     RequestRunner(net::Loop &loop, ReplicaTable &replicas, CrashSuspects &suspects, ReplicaPort port,
                   PermitSource permits, RequestRunnerSettings settings, Observer observer);
 
-    void run(InboundRequest request, const Route &route, const std::string &workspace, ResponseSink sink);
+    /// `regions`: those in which the request may be served. It is refused if there are none.
+    void run(InboundRequest request, const Route &route, const std::string &workspace, const RegionSet &regions,
+             ResponseSink sink);
 
 private:
     struct ActiveRequest;
--- a/tests/adapter/codectest.cpp
+++ b/tests/adapter/codectest.cpp
@@ -65,22 +65,26 @@
 TEST_CASE("a configuration is decoded")
 {
     const auto config = parseConfig(object("main", R"({"version":7,
-        "routes":[{"name":"r1","host":"h.example","path_prefix":"/x/","kind":"safe","timeout_ms":2000,
+        "routes":[{"name":"r1","host":"h.example","path_prefix":"/x/","allowed_regions":["north"],"kind":"safe","timeout_ms":2000,
             "target_latency_ms":200,"priority":2,"max_attempts":2,"auth_exempt":true,
             "traffic_split":[{"service":"s1","weight":90},{"service":"s2","weight":10}]},
-          {"name":"r2","host":"h.example","path_prefix":"/y/","kind":"rollout","service":"s1","queue_ttl_s":40.0,
+          {"name":"r2","host":"h.example","path_prefix":"/y/","allowed_regions":[],"kind":"rollout","service":"s1","queue_ttl_s":40.0,
             "result_due_ms":7500,"single_version":true,"resumable":true},
           {"name":"r3","host":"h.example","path_prefix":"/z/","kind":"something-new","service":"s1"}],
         "services":[{"name":"s1","engine":{"models":[{"name":"m0"}]},"scaling":{"min":1,"max":8,"boot_s":4.0}},
           {"name":"s2"}],
         "limits":{"max_header_bytes":1000,"idle_timeout_ms":15000},
-        "tenants":[{"name":"t1","api_keys":["k1","k2"],"priority":1},{"name":"t2","api_keys":[]}]})"));
+        "tenants":[{"name":"t1","api_keys":["k1","k2"],"priority":1,"allowed_regions":["north","south"]},{"name":"t2","api_keys":[]}]})"));
     REQUIRE(config);
     CHECK(config->version == 7);
     CHECK(config->revision == 9);
     CHECK(config->routes[0].authExempt);
     CHECK(config->routes[0].timeout == absl::Seconds(2));
     CHECK(config->routes[0].services.size() == 2);
+    CHECK(config->routes[0].homes == serving::RegionSet(std::set<std::string>{"north"}));
+    CHECK(config->routes[1].homes.isUnrestricted());
+    CHECK(config->workspaces[0].homes == serving::RegionSet(std::set<std::string>{"north", "south"}));
+    CHECK(config->workspaces[1].homes.isUnrestricted());
     CHECK(config->routes[1].queueTtl == absl::Seconds(40));
     CHECK(config->routes[1].singleVersion);
     // What isn't known is never repeated.
--- a/tests/serving/requestrunnertest.cpp
+++ b/tests/serving/requestrunnertest.cpp
@@ -65,7 +65,7 @@
         sink.isCongested = [this] { return congested; };
         sink.onSent = [this](std::function<void()> handler) { sent = std::move(handler); };
         sink.onClientGone = [this](std::function<void()> handler) { disconnect = std::move(handler); };
-        runner.run(std::move(request), route, "w", std::move(sink));
+        runner.run(std::move(request), route, "w", regions, std::move(sink));
     }
 
     net::Loop loop;
@@ -73,6 +73,7 @@
     CrashSuspects suspects{CrashSuspectsSettings{}};
     RequestRunner runner;
     Route route;
+    RegionSet regions;
     std::map<std::string, Behaviour> behaviourOf;
     std::vector<std::string> attempts;
     std::map<std::string, int> started;
@@ -233,6 +234,15 @@
     CHECK(net::loopNow() - start < fixture.route.targetLatency / 4);
 }
 
+// Guards against a request that is served, or waits, although the route and the workspace allow no common region.
+TEST_CASE("a request that is allowed in no region is refused at once")
+{
+    RequestRunnerFixture fixture(2);
+    fixture.regions = RegionSet(std::set<std::string>{});
+    CHECK(fixture.sendRequest() == 503);
+    CHECK(fixture.started.empty());
+}
+
 // Guards against a process that keeps a stream without end because its client reads slowly.
 TEST_CASE("a stream isn't read from its replica while its client doesn't keep up")
 {
