scheduling, control, jobs: replicas are shared between models by demand

Cause: each model got the same number of replicas. Change: DemandMeter measures the work of a job over the time until its results are due, at the node that runs the jobs; probes carry it to the controller, whose ModelShares gives each model replicas in proportion, with a floor and hysteresis. Equal shares, as before, while demands are alike or unknown.

--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -4,6 +4,7 @@
 #include "telemetry/log.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace currantlug::control {
 
@@ -56,6 +57,9 @@
         return;
     }
     const Instant now = net::loopNow();
+    for (const auto &[node, demand] : context_.reportedDemand()) {
+        demandBook_.record(node, demand, now);
+    }
     pollWeights(now);
     pollScale(now);
     usage_.poll(now);
@@ -144,6 +148,36 @@
 
 // Weights
 
+const scheduling::ReplicaCounts &Controller::shares(const std::string &service, int replicas,
+                                                    const std::vector<std::string> &models, Instant now)
+{
+    scheduling::ModelShares &shares = sharesByService_[service];
+    const scheduling::DemandByModel demand = demandBook_.demand(now);
+    if (shares.update(replicas, models, demand)) {
+        for (const auto &[model, count] : shares.counts()) {
+            const auto known = demand.find(model);
+            telemetry::log(Level::Info, "weights", "shared",
+                           {{"service", service},
+                            {"model", model},
+                            {"replicas", count},
+                            {"of", replicas},
+                            {"tokens_per_s", known == demand.end() ? 0 : std::llround(known->second)}});
+        }
+    }
+    return shares.counts();
+}
+
+scheduling::ReplicaCounts Controller::replicaShares() const
+{
+    scheduling::ReplicaCounts counts;
+    if (leading()) {
+        for (const auto &[service, shares] : sharesByService_) {
+            counts.insert(shares.counts().begin(), shares.counts().end());
+        }
+    }
+    return counts;
+}
+
 void Controller::pollWeights(Instant now)
 {
     const serving::GatewayConfig *config = context_.config();
@@ -157,7 +191,7 @@
             continue;
         }
         const auto replicas = usableReplicas(name);
-        weights_.assign(replicas, service.models);
+        weights_.assign(replicas, service.models, shares(name, static_cast<int>(replicas.size()), service.models, now));
         const bool requiresSingleVersion =
             std::any_of(config->routes.begin(), config->routes.end(), [&](const serving::Route &route) {
                 return route.singleVersion
--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -72,6 +72,8 @@
     std::function<int()> rank;
     /// True if the store answers this node directly, not only through a peer.
     std::function<bool()> storeReachable;
+    /// What this node and its peers in contact last reported of the demand, by node.
+    std::function<std::map<std::string, scheduling::DemandByModel>()> reportedDemand;
     std::string node;
     std::string machine; ///< Identifies the machine in the lease record; unique among machines.
     RequestCounts &counts;
@@ -88,6 +90,8 @@
     void poll();
     bool leading() const { return fencingToken_.has_value(); }
     const std::map<std::string, std::string> &modelByReplica() const { return weights_.modelByReplica(); }
+    /// Replicas that each model is to have, by model; empty unless this node leads.
+    scheduling::ReplicaCounts replicaShares() const;
     /// Gives up the lease, if held, so that a successor need not wait for it to expire.
     void release();
 
@@ -96,6 +100,9 @@
     void startLeading();
     void stopLeading();
     void pollWeights(Instant now);
+    /// Number of replicas that each model of the service is to have.
+    const scheduling::ReplicaCounts &shares(const std::string &service, int replicas,
+                                            const std::vector<std::string> &models, Instant now);
     void pollScale(Instant now);
     void loadDesiredCounts();
     void onRetirement(const objects::ObjectChange &change);
@@ -107,6 +114,8 @@
     LeaseDriver lease_;
     WeightPlan weights_;
     ScalePlan scale_;
+    scheduling::DemandBook demandBook_;
+    std::map<std::string, scheduling::ModelShares> sharesByService_;
     UsageReporter usage_;
     objects::ObjectMirror versions_;
     objects::ObjectMirror retirements_;
--- a/src/control/weightplan.cpp
+++ b/src/control/weightplan.cpp
@@ -41,7 +41,8 @@
     return version;
 }
 
-void WeightPlan::assign(const std::vector<const serving::Replica *> &replicas, const std::vector<std::string> &models)
+void WeightPlan::assign(const std::vector<const serving::Replica *> &replicas, const std::vector<std::string> &models,
+                        const scheduling::ReplicaCounts &counts)
 {
     if (models.empty()) {
         return;
@@ -53,37 +54,38 @@
                    return replica->entry.id == assignment.first;
                });
     });
-    std::map<std::string, int> count;
+    const int equalCount = static_cast<int>((replicas.size() + models.size() - 1) / models.size());
+    std::map<std::string, int> surplus; // Number of replicas beyond the intended one; negative if some are missing.
     for (const std::string &model : models) {
-        count[model] = 0;
+        const auto intended = counts.find(model);
+        surplus[model] = intended == counts.end() ? -equalCount : -intended->second;
     }
     std::vector<const serving::Replica *> unassigned;
     for (const serving::Replica *replica : replicas) {
         const auto found = modelByReplica_.find(replica->entry.id);
-        if (found != modelByReplica_.end() && count.contains(found->second)) {
-            ++count[found->second];
+        if (found != modelByReplica_.end() && surplus.contains(found->second)) {
+            ++surplus[found->second];
         } else {
             unassigned.push_back(replica);
         }
     }
-    const int maxPerModel = static_cast<int>((replicas.size() + models.size() - 1) / models.size());
     for (const serving::Replica *replica : unassigned) {
         const std::string *best = nullptr;
         std::tuple<bool, std::uint64_t, int> bestRank;
         for (const std::string &model : models) {
             const std::uint64_t latest = latestVersion(model);
             const std::uint64_t loaded = versionOf(*replica, model);
-            const std::tuple<bool, std::uint64_t, int> rank{count[model] >= maxPerModel,
-                                                            latest > loaded ? latest - loaded : 0, count[model]};
+            const std::tuple<bool, std::uint64_t, int> rank{surplus[model] >= 0, latest > loaded ? latest - loaded : 0,
+                                                            surplus[model]};
             if (best == nullptr || rank < bestRank) {
                 best = &model;
                 bestRank = rank;
             }
         }
         modelByReplica_[replica->entry.id] = *best;
-        ++count[*best];
+        ++surplus[*best];
     }
-    const auto [fewest, most] = std::minmax_element(count.begin(), count.end(),
+    const auto [fewest, most] = std::minmax_element(surplus.begin(), surplus.end(),
                                                     [](const auto &a, const auto &b) { return a.second < b.second; });
     if (most->second - fewest->second < 2) {
         return;
--- a/src/control/weightplan.h
+++ b/src/control/weightplan.h
@@ -12,6 +12,7 @@
 
 #include "control/dutyport.h"
 #include "core/instant.h"
+#include "scheduling/modelshares.h"
 
 #include <map>
 #include <optional>
@@ -47,9 +48,11 @@
 
     /// A trainer published a weight version of its model. Versions older than the newest known one are ignored.
     void onVersionPublished(const std::string &model, std::uint64_t version, Instant now);
-    /// Assigns each usable replica of a service one of the service's models. Existing assignments are kept, except that
-    /// one replica per call is reassigned while the numbers of replicas of two models differ by two or more.
-    void assign(const std::vector<const serving::Replica *> &replicas, const std::vector<std::string> &models);
+    /// Assigns each usable replica of a service one of the service's models. `counts` is the number of replicas that
+    /// each model is to have; if empty, all models get alike. Existing assignments are kept, except that one replica
+    /// per call is reassigned while the surpluses of two models, relative to those numbers, differ by two or more.
+    void assign(const std::vector<const serving::Replica *> &replicas, const std::vector<std::string> &models,
+                const scheduling::ReplicaCounts &counts = {});
     /// Returns the orders to send now.
     std::vector<WeightOrder> dueOrders(const std::vector<const serving::Replica *> &replicas, SwapMode mode,
                                        Instant now);
--- a/src/jobs/job.cpp
+++ b/src/jobs/job.cpp
@@ -36,6 +36,15 @@
 
 } // namespace
 
+double expectedWork(const JobSpec &spec)
+{
+    double work = 0;
+    for (const ItemSpec &item : spec.items) {
+        work += item.lengthHint > 0 ? item.lengthHint : std::max(1.0, item.tokens);
+    }
+    return work;
+}
+
 std::size_t itemMemory(const JobSpec &spec)
 {
     return std::accumulate(spec.items.begin(), spec.items.end(), std::size_t{0},
@@ -188,7 +197,8 @@
                {"headers", std::move(headers)},
                {"body", absl::Base64Escape(item.body)},
                {"group", item.group},
-               {"hint", item.lengthHint}};
+               {"hint", item.lengthHint},
+               {"tokens", item.tokens}};
     if (item.reward) {
         value["reward"] = rewardToJson(*item.reward);
     }
@@ -202,6 +212,7 @@
     item.path = fieldOr<std::string>(value, "path", "");
     item.group = fieldOr<std::string>(value, "group", "");
     item.lengthHint = fieldOr<double>(value, "hint", 0);
+    item.tokens = fieldOr<double>(value, "tokens", 0);
     if (item.id.empty() || !absl::Base64Unescape(fieldOr<std::string>(value, "body", ""), &item.body)) {
         return std::nullopt;
     }
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -74,6 +74,7 @@
     std::string body;
     std::string group; ///< Items of a group share a prompt.
     double lengthHint = 0; ///< Estimated number of output tokens; 0 if the trainer sent none.
+    double tokens = 0; ///< Upper bound of the tokens of prompt and output; 0 if the trainer sent none.
     std::optional<RewardSpec> reward; ///< If set, the item isn't completed without a score.
     /// Digest of everything that determines the text, set by assignTextKeys(). Jobs share the texts of items with equal
     /// keys; an item with an empty key shares none.
@@ -143,6 +144,8 @@
     std::vector<ItemResult> results;
 };
 
+/// Expected work of a job, in tokens. An item without an estimate of its output counts with its upper bound.
+double expectedWork(const JobSpec &spec);
 /// Memory that the items of a job take, in bytes.
 std::size_t itemMemory(const JobSpec &spec);
 /// The job with its items, which are moved out of `spec`.
--- a/src/jobs/jobservice.cpp
+++ b/src/jobs/jobservice.cpp
@@ -351,6 +351,10 @@
     owned->revision = revision;
     owned->expiresAt = expiryTime(record.submittedMs);
     owned->memory = memoryFor(spec);
+    const serving::GatewayConfig *config = context_.config();
+    const serving::Route *route = config == nullptr ? nullptr : config->findRoute(spec.host, spec.path);
+    demand_.recordJob(spec.model, expectedWork(spec),
+                      route == nullptr ? absl::InfiniteDuration() : route->resultDue, net::loopNow());
     owned->runner = std::make_shared<JobRunner>(context_, rewards_, std::move(spec), record.submittedMs, std::move(log),
                                                 JobRunner::Hooks{[this, id = record.id] { servePendingReads(id); },
                                                                  [this, id = record.id] { checkOwnership(id); }});
--- a/src/jobs/jobservice.h
+++ b/src/jobs/jobservice.h
@@ -10,6 +10,7 @@
 #include "core/enumnames.h"
 #include "jobs/jobcontext.h"
 #include "jobs/jobrunner.h"
+#include "scheduling/modeldemand.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
@@ -91,6 +92,8 @@
     bool holdsTexts() const { return !owned_.empty() || !formerlyOwned_.empty(); }
     /// Number of items of the open jobs by state.
     std::map<ItemState, std::size_t> itemCounts() const;
+    /// Demand of the trainers whose jobs run here.
+    scheduling::DemandByModel demand() const { return demand_.demand(net::loopNow()); }
 
 private:
     /// Where a submission may be carried out.
@@ -203,6 +206,7 @@
 
     JobContext context_;
     LoadWatch loadWatch_;
+    scheduling::DemandMeter demand_;
     RewardCaller rewards_; ///< Shared by all runners; declared before the jobs, whose runners refer to it.
     absl::flat_hash_map<std::string, std::unique_ptr<OwnedJob>> owned_;
     /// Jobs that other nodes took over, kept for the text that was generated here.
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -211,6 +211,13 @@
             }));
         },
         [this] { return storeReached(); },
+        [this] {
+            std::map<std::string, scheduling::DemandByModel> reports{{settings_.name, jobs_->demand()}};
+            for (const NodeInfo &node : mesh_.contacts()) {
+                reports[node.name] = node.modelDemand;
+            }
+            return reports;
+        },
         settings_.name,
         settings_.name + "@" + settings_.controlAddress,
         counts_,
@@ -319,6 +326,9 @@
     info.leavingReplicas = replicas_.leavingReplicas();
     info.replicaLimits = replicas_.limitStatements(net::loopNow());
     info.crashSuspects = crashSuspects_.statements();
+    if (jobs_ != nullptr) {
+        info.modelDemand = jobs_->demand();
+    }
     return info;
 }
 
@@ -565,6 +575,8 @@
     status.items = jobs_->itemCounts();
     status.connectionsOpened = client_.connectionsOpened();
     status.longestStall = stallDetector_.longest();
+    status.modelDemand = jobs_->demand();
+    status.replicaShares = controller_->replicaShares();
     if (scrapeHandler_) {
         scrapeHandler_(metrics_.registry());
     }
--- a/src/node/nodemetrics.cpp
+++ b/src/node/nodemetrics.cpp
@@ -165,6 +165,18 @@
         registry_.gauge("currantlug_items", "Items of the open batch jobs by state.", {{"state", std::string(name)}})
             .set(found == status.items.end() ? 0 : static_cast<double>(found->second));
     }
+    for (const auto &[model, rate] : status.modelDemand) {
+        registry_
+            .gauge("currantlug_model_demand_tokens_per_second", "Demand of the trainers whose jobs this node runs.",
+                   {{"model", model}})
+            .set(rate);
+    }
+    for (const auto &[model, count] : status.replicaShares) {
+        registry_
+            .gauge("currantlug_model_replicas_intended", "Replicas that a model is to have, at the leader.",
+                   {{"model", model}})
+            .set(count);
+    }
     setReplicas(replicas, now);
     return registry_.exposition();
 }
--- a/src/node/nodemetrics.h
+++ b/src/node/nodemetrics.h
@@ -4,6 +4,7 @@
 #define CURRANTLUG_NODE_NODEMETRICS_H
 
 #include "jobs/itemtracker.h"
+#include "scheduling/modelshares.h"
 #include "serving/gatewayconfig.h"
 #include "serving/replicatable.h"
 #include "telemetry/metrics.h"
@@ -48,6 +49,8 @@
     std::size_t openJobs = 0;
     std::map<jobs::ItemState, std::size_t> items; ///< Number of items of the open jobs by state.
     std::uint64_t connectionsOpened = 0; ///< To replicas, peers and the object store since the start.
+    scheduling::DemandByModel modelDemand; ///< Of the jobs that this node runs.
+    scheduling::ReplicaCounts replicaShares; ///< Empty unless this node leads.
     absl::Duration longestStall; ///< Of the event loop since the start.
 };
 
--- a/src/node/nodestate.cpp
+++ b/src/node/nodestate.cpp
@@ -291,6 +291,7 @@
     info.leavingReplicas.clear();
     info.replicaLimits.clear();
     info.crashSuspects.clear();
+    info.modelDemand.clear();
     info.configRevision = 0;
     return node::toJson(info);
 }
--- a/src/node/peermesh.cpp
+++ b/src/node/peermesh.cpp
@@ -80,6 +80,9 @@
                                   statement.requestLimit ? Json(*statement.requestLimit) : Json(),
                                   absl::ToInt64Milliseconds(now - statement.statedAt)});
     }
+    for (const auto &[model, rate] : info.modelDemand) {
+        json["demand"][model] = rate;
+    }
     for (const serving::SuspectStatement &statement : info.crashSuspects) {
         json["suspects"].push_back(toJson(statement));
     }
@@ -112,6 +115,12 @@
                 {replica[0].get<std::string>(), replica[1].get<std::string>(), replica[2].get<std::int64_t>()});
         }
     }
+    const Json demand = fieldOrNull(value, "demand");
+    for (const auto &[model, rate] : demand.items()) {
+        if (demand.is_object() && rate.is_number()) {
+            info.modelDemand[model] = rate.get<double>();
+        }
+    }
     for (const Json &suspect : fieldOrNull(value, "suspects")) {
         if (auto statement = parseSuspectStatement(suspect)) {
             info.crashSuspects.push_back(*std::move(statement));
--- a/src/node/peermesh.h
+++ b/src/node/peermesh.h
@@ -12,6 +12,7 @@
 #include "jobs/jobcontext.h"
 #include "net/httpclient.h"
 #include "net/httpserver.h"
+#include "scheduling/modeldemand.h"
 #include "serving/crashsuspects.h"
 #include "serving/replicatable.h"
 
@@ -43,6 +44,7 @@
     std::vector<serving::ReplicaIncarnation> leavingReplicas; ///< Known to leave by their own word.
     /// What replicas have said about their request limits. The times are those of this process.
     std::vector<serving::LimitStatement> replicaLimits;
+    scheduling::DemandByModel modelDemand; ///< Of the trainers whose jobs the node runs.
     /// Requests under which replicas ended. The times are those of this process.
     std::vector<serving::SuspectStatement> crashSuspects;
 };
--- a/tests/control/controllertest.cpp
+++ b/tests/control/controllertest.cpp
@@ -69,7 +69,8 @@
             member.controller = std::make_unique<Controller>(
                 ControllerContext{loop, *member.table, store.port(), peers, duties, kinds,
                                   []() -> const serving::GatewayConfig * { return nullptr; }, [] { return false; },
-                                  [] { return 0; }, [this, name] { return !storeUnreachable.contains(name); }, name,
+                                  [] { return 0; }, [this, name] { return !storeUnreachable.contains(name); },
+                                  [] { return std::map<std::string, scheduling::DemandByModel>(); }, name,
                                   std::string(name) + "@machine", *member.counts, lease, settings});
         }
         poll();
--- a/tests/control/plantest.cpp
+++ b/tests/control/plantest.cpp
@@ -69,6 +69,32 @@
     }
 }
 
+// Guards against a plan that ignores the intended numbers, and against one that reassigns many replicas at once.
+TEST_CASE("replicas are reassigned one at a time until the models have their intended numbers")
+{
+    WeightPlan plan;
+    auto list = replicas(12, Models);
+    plan.assign(pointers(list), Models);
+    const scheduling::ReplicaCounts intended{{"m0", 2}, {"m1", 4}, {"m2", 6}};
+    for (int call = 0; call < 2; ++call) {
+        const auto before = plan.modelByReplica();
+        plan.assign(pointers(list), Models, intended);
+        int changed = 0;
+        for (const auto &[replica, model] : plan.modelByReplica()) {
+            changed += before.at(replica) == model ? 0 : 1;
+        }
+        CHECK(changed == 1);
+    }
+    const auto settled = plan.modelByReplica();
+    plan.assign(pointers(list), Models, intended);
+    CHECK(plan.modelByReplica() == settled);
+    scheduling::ReplicaCounts counts;
+    for (const auto &[replica, model] : settled) {
+        ++counts[model];
+    }
+    CHECK(counts == intended);
+}
+
 // Guards against replicas that load when they should serve: the items of a step arrive just when its weight version is
 // published. Replicas one version behind serve them first; those further behind can't, and load at once.
 TEST_CASE("a replica one version behind loads after a delay, others load at once")
