platform, jobs: loads with a fourth figure are read, and a refused item tries another replica first

Cause: X-Server-Load may have a fourth figure, the pace of the machine. Change: four figures are decoded; an item that wasn't run tries other replicas before that one.

--- a/src/jobs/jobrunner.cpp
+++ b/src/jobs/jobrunner.cpp
@@ -388,6 +388,8 @@
             head.instanceMismatch ? context_.replicas.recordFailure(*replica, now)
                                   : context_.replicas.recordRefusal(*replica, head.load, now);
         }
+        // It may be loading weights for a second: the others are tried first.
+        item.excludedReplicas.insert(item.replica);
         requeue(index, "not run", VersionRetryDelay);
     } else if (head.status == 200 && !item.text.empty()) {
         if (replica != nullptr) {
--- a/src/serving/replica.h
+++ b/src/serving/replica.h
@@ -34,6 +34,9 @@
     int running = 0;
     int waiting = 0;
     int slots = 0;
+    /// Time that work takes on the replica's machine at this moment, relative to the usual one. Others use the machine
+    /// too, and the figure changes several times a second.
+    double slowdown = 1;
 };
 
 /// Permission to send one request to a replica that limits its request rate.
