serving, node: evacuated zones get no requests, and cold replicas are limited by permits

No choice returns a replica of an evacuated zone, items there are moved, and nothing is ordered there. A cold replica is limited to cold_per_s by the permits that exist, with a burst that fits the bound of any second. Schedules of permits are kept by id and address, so that a restart brings no second burst.

Without evacuate_ms nothing is watched, and without cold_s no replica is cold.

--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -146,6 +146,14 @@
     return replicas;
 }
 
+std::vector<const serving::Replica *>
+Controller::outsideEvacuations(std::vector<const serving::Replica *> replicas) const
+{
+    std::erase_if(replicas,
+                  [this](const serving::Replica *replica) { return context_.replicas.isEvacuated(*replica); });
+    return replicas;
+}
+
 // Weights
 
 const scheduling::ReplicaCounts &Controller::shares(const std::string &service, int replicas,
@@ -198,8 +206,9 @@
                     && std::any_of(route.services.begin(), route.services.end(),
                                    [&](const serving::WeightedService &choice) { return choice.service == name; });
             });
-        for (const WeightOrder &order :
-             weights_.dueOrders(replicas, requiresSingleVersion ? SwapMode::Wait : SwapMode::Truncate, now)) {
+        // Replicas of an evacuated zone keep their models and get no orders.
+        for (const WeightOrder &order : weights_.dueOrders(
+                 outsideEvacuations(replicas), requiresSingleVersion ? SwapMode::Wait : SwapMode::Truncate, now)) {
             const auto holder = this->holder();
             serving::Replica *replica = context_.replicas.find(order.replica);
             if (!holder || replica == nullptr) {
@@ -219,7 +228,7 @@
     }
     for (const std::string &id : weights_.replicasToQuery(now)) {
         const serving::Replica *replica = context_.replicas.find(id);
-        if (replica == nullptr || !pendingReports_.insert(id).second) {
+        if (replica == nullptr || context_.replicas.isEvacuated(*replica) || !pendingReports_.insert(id).second) {
             continue;
         }
         context_.duties.report(*replica, [this, id](const std::optional<ReplicaReport> &report) {
@@ -296,7 +305,8 @@
             maxReplicas[name] = service.scaling->maximum;
         }
     }
-    for (const ScaleOrder &order : scale_.dueOrders(servingCounts(), maxReplicas, now)) {
+    for (const ScaleOrder &order :
+         scale_.dueOrders(servingCounts(), maxReplicas, now, context_.replicas.evacuatedZones())) {
         const auto holder = this->holder();
         if (!holder) {
             return;
--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -107,6 +107,7 @@
     void loadDesiredCounts();
     void onRetirement(const objects::ObjectChange &change);
     std::vector<const serving::Replica *> usableReplicas(const std::string &service) const;
+    std::vector<const serving::Replica *> outsideEvacuations(std::vector<const serving::Replica *> replicas) const;
     ScalePlan::Counts servingCounts() const;
     std::optional<LeaseHolder> holder() const;
 
--- a/src/control/scaleplan.cpp
+++ b/src/control/scaleplan.cpp
@@ -6,13 +6,13 @@
 namespace currantlug::control {
 
 std::vector<ScaleOrder> ScalePlan::dueOrders(const Counts &serving, const std::map<std::string, int> &maxReplicas,
-                                             Instant now)
+                                             Instant now, const std::set<std::string> &evacuatedZones)
 {
     std::vector<ScaleOrder> orders;
     for (const auto &[serviceZone, desiredCount] : desiredCounts_) {
         const auto found = serving.find(serviceZone);
         const int servingCount = found == serving.end() ? 0 : found->second;
-        if (servingCount >= desiredCount) {
+        if (servingCount >= desiredCount || evacuatedZones.contains(serviceZone.second)) {
             missingSince_.erase(serviceZone);
             continue;
         }
@@ -39,7 +39,7 @@
             const auto otherFound = serving.find(other);
             const int otherServingCount = otherFound == serving.end() ? 0 : otherFound->second;
             const int desired = std::max(otherServingCount, otherDesiredCount) + desiredCount - servingCount;
-            if (other.first == serviceZone.first && other != serviceZone
+            if (other.first == serviceZone.first && other != serviceZone && !evacuatedZones.contains(other.second)
                 && (otherUnavailable == unavailableUntil_.end() || otherUnavailable->second <= now)
                 && desired <= limit->second) {
                 orders.push_back({other.first, other.second, desired});
--- a/src/control/scaleplan.h
+++ b/src/control/scaleplan.h
@@ -11,6 +11,7 @@
 #include "core/json.h"
 
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -40,8 +41,9 @@
     const Counts &desiredCounts() const { return desiredCounts_; }
     /// Returns the orders to send now, given the counts of replicas that serve. `maxReplicas` is the limit per zone, by
     /// service.
-    std::vector<ScaleOrder> dueOrders(const Counts &serving, const std::map<std::string, int> &maxReplicas,
-                                      Instant now);
+    /// `evacuatedZones`: nothing is ordered there, and what is missing there isn't replaced elsewhere.
+    std::vector<ScaleOrder> dueOrders(const Counts &serving, const std::map<std::string, int> &maxReplicas, Instant now,
+                                      const std::set<std::string> &evacuatedZones = {});
     void onReply(const ScaleOrder &order, DutyReply reply, Instant now);
 
 private:
--- a/src/jobs/jobrunner.cpp
+++ b/src/jobs/jobrunner.cpp
@@ -393,7 +393,7 @@
         requeue(index, "not run", VersionRetryDelay);
     } else if (head.status == 200 && !item.text.empty()) {
         if (replica != nullptr) {
-            context_.replicas.recordSuccess(*replica);
+            context_.replicas.recordSuccess(*replica, now);
         }
         releaseReplica(index);
         onTextComplete(index);
@@ -497,6 +497,10 @@
             continue;
         }
         serving::Replica *replica = context_.replicas.find(item.replica);
+        if (replica != nullptr && context_.replicas.isEvacuated(*replica)) {
+            requeue(index, "evacuated", absl::ZeroDuration());
+            continue;
+        }
         if (now - item.lastEventAt > context_.settings.eventTimeout) {
             if (replica != nullptr) {
                 context_.replicas.recordFailure(*replica, now);
--- a/src/jobs/loadwatch.cpp
+++ b/src/jobs/loadwatch.cpp
@@ -17,8 +17,9 @@
     for (const auto &[id, replica] : replicas.all()) {
         const serving::ReplicaEntry &entry = replica.entry;
         const auto version = entry.weightVersions.find(requirements.model);
-        if (entry.service != requirements.service || !replica.acceptsRequests() || replica.removeAt <= now
-            || version == entry.weightVersions.end() || version->second >= requirements.minVersion) {
+        if (entry.service != requirements.service || !replica.acceptsRequests() || replicas.isEvacuated(replica)
+            || replica.removeAt <= now || version == entry.weightVersions.end()
+            || version->second >= requirements.minVersion) {
             continue;
         }
         if (requirements.plan != nullptr && !requirements.plan->empty()) {
--- a/src/jobs/rewardcaller.cpp
+++ b/src/jobs/rewardcaller.cpp
@@ -157,7 +157,7 @@
     const bool usable = response.ok() && !head.requestMismatch;
     if (usable && !head.notRun && head.status / 100 == 2) {
         if (replica != nullptr) {
-            context_.replicas.recordSuccess(*replica);
+            context_.replicas.recordSuccess(*replica, now);
         }
         limit.recordSuccess();
         budget_.succeeded();
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -58,6 +58,13 @@
     return mirror;
 }
 
+objects::MirrorSettings evacuationMirrorSettings(const NodeSettings &settings)
+{
+    objects::MirrorSettings mirror;
+    mirror.watchWait = boundedWatchWait(settings.evacuateTime.value_or(absl::InfiniteDuration()));
+    return mirror;
+}
+
 serving::ReplicaTableSettings tableSettings(const NodeSettings &settings)
 {
     serving::ReplicaTableSettings table;
@@ -145,6 +152,8 @@
                      [this](const ObjectChange &change) { onReplicaObject(change, registryUnstable()); })
     , nodeMirror_(loop, binding_.store, std::string(NodeKind), nodeMirrorSettings(),
                   [this](const ObjectChange &change) { onNodeObject(change); })
+    , evacuationMirror_(loop, binding_.store, binding_.evacuationKind, evacuationMirrorSettings(settings_),
+                        [this](const ObjectChange &change) { onEvacuationObject(change); })
     , replicaJournal_(incarnation_)
     , replicaFollower_(mesh_, {},
                        {[this](const ReplicaDelta &delta) { onReplicaDelta(delta); },
@@ -152,7 +161,8 @@
                             if (revision > configRevision()) {
                                 fetchSnapshot(source);
                             }
-                        }})
+                        },
+                        [this](const serving::EvacuationView &view) { mergeEvacuations(view, "source"); }})
     , lastTickAt_(net::loopNow())
     , startedAt_(net::loopNow())
     , stallDetector_({FastTickPeriod})
@@ -253,6 +263,9 @@
     addSeeds(settings_.seeds);
     configMirror_.start();
     replicaMirror_.start();
+    if (followsEvacuations()) {
+        evacuationMirror_.start();
+    }
     registerNode();
     mesh_.start();
     net::runEvery(loop_, FastTickPeriod, [this] { fastTick(); });
@@ -304,7 +317,7 @@
 
 bool Node::ready() const
 {
-    return !stopping_ && config_.has_value();
+    return !stopping_ && config_.has_value() && evacuationsKnown();
 }
 
 NodeInfo Node::info() const
@@ -326,6 +339,9 @@
     info.leavingReplicas = replicas_.leavingReplicas();
     info.replicaLimits = replicas_.limitStatements(net::loopNow());
     info.crashSuspects = crashSuspects_.statements();
+    if (followsEvacuations()) {
+        info.evacuations = evacuations_.view();
+    }
     if (jobs_ != nullptr) {
         info.modelDemand = jobs_->demand();
     }
@@ -348,6 +364,13 @@
     const serving::RegionSet homes = config_ ? config_->homesOfHost(host) : serving::RegionSet();
     std::vector<NodeInfo> nodes = mesh_.contacts();
     nodes.push_back(info());
+    const std::set<std::string> &evacuated = replicas_.evacuatedZones();
+    const auto isElsewhere = [&evacuated](const NodeInfo &node) {
+        return node.ready && !node.stopping && !node.front.empty() && !evacuated.contains(node.availabilityZone);
+    };
+    if (!evacuated.empty() && std::any_of(nodes.begin(), nodes.end(), isElsewhere)) {
+        std::erase_if(nodes, [&](const NodeInfo &node) { return !isElsewhere(node); });
+    }
     std::vector<std::string> addresses;
     const auto addMatching = [&](const auto &matches) {
         for (const NodeInfo &node : nodes) {
@@ -418,6 +441,10 @@
         refuseTemporarily(request, sink, "no configuration yet");
         return;
     }
+    if (!evacuationsKnown()) {
+        refuseTemporarily(request, sink, "the evacuated zones aren't known yet");
+        return;
+    }
     checkPause();
     if (verifying_) {
         refuseTemporarily(request, sink, "the process was paused");
@@ -505,8 +532,12 @@
     }
     if (method == ReplicaFollower::Method) {
         // Only a node that watches is a source: a chain of followers would add up their delays.
-        reply(ReplicaFollower::answer(replicaJournal_, body, replicaMirror_.current(), registryUnstable(),
-                                      configRevision()));
+        Json answer = ReplicaFollower::answer(replicaJournal_, body, replicaMirror_.current(), registryUnstable(),
+                                              configRevision());
+        if (followsEvacuations()) {
+            answer["evacuations"] = toJson(evacuations_.view());
+        }
+        reply(std::move(answer));
         return true;
     }
     if (method == CrashMethod) {
@@ -557,6 +588,9 @@
         }
         reply["replicas"] = std::move(replicas);
     }
+    if (followsEvacuations()) {
+        reply["evacuations"] = toJson(evacuations_.view());
+    }
     return reply;
 }
 
@@ -571,6 +605,7 @@
     status.viewAges = {{StoreView::Config, configMirror_.age(now)}, {StoreView::Replicas, replicaViewAge(now)}};
     status.configVersion = config_ ? config_->version : 0;
     status.nodesInContact = mesh_.contacts().size();
+    status.evacuatedZones = replicas_.evacuatedZones().size();
     status.openJobs = jobs_->openJobCount();
     status.items = jobs_->itemCounts();
     status.connectionsOpened = client_.connectionsOpened();
@@ -591,6 +626,8 @@
     reportStall();
     const Instant now = net::loopNow();
     replicas_.expire(now);
+    syncEvacuations();
+    reportColdReplicas(now);
     replicaFollower_.poll(now);
     if (!stopping_) {
         controller_->poll();
@@ -603,7 +640,7 @@
 
 const serving::GatewayConfig *Node::usableConfig() const
 {
-    const bool usable = config_ && !verifying_ && net::loopNow() - lastTickAt_ <= PauseLimit;
+    const bool usable = config_ && evacuationsKnown() && !verifying_ && net::loopNow() - lastTickAt_ <= PauseLimit;
     return usable ? &*config_ : nullptr;
 }
 
@@ -640,29 +677,30 @@
         }
     };
     const auto retryLater = [this] { net::runAfter(loop_, VerifyRetryDelay, [this] { verifyConfig(); }); };
-    binding_.store.get(binding_.configKind, binding_.configName,
-                       [this, finish, retryLater](const objects::StoreReply &reply) {
-                           if (reply.outcome == objects::StoreOutcome::Done && !reply.changes.empty()) {
-                               applyConfig(reply.changes.front().object, "store");
-                               finish("store");
-                               return;
-                           }
-                           const std::string peer = mesh_.peerWithStore();
-                           if (peer.empty()) {
-                               // No node can learn of a newer configuration: the one in force is as good as any.
-                               finish("none");
-                               return;
+    binding_.store.get(
+        binding_.configKind, binding_.configName, [this, finish, retryLater](const objects::StoreReply &reply) {
+            if (reply.outcome == objects::StoreOutcome::Done && !reply.changes.empty()) {
+                applyConfig(reply.changes.front().object, "store");
+                // A zone may have been evacuated during the pause.
+                listEvacuations([finish, retryLater](bool listed) { listed ? finish("store") : retryLater(); });
+                return;
+            }
+            const std::string peer = mesh_.peerWithStore();
+            if (peer.empty()) {
+                // No node can learn of a newer configuration: the one in force is as good as any.
+                finish("none");
+                return;
+            }
+            mesh_.call(peer, "node/snapshot", {{"config", config_->revision}}, VerifyTimeout,
+                       [this, finish, retryLater](const absl::StatusOr<Json> &answer) {
+                           if (answer.ok() && answer->is_object()) {
+                               applySnapshot(*answer);
+                               finish("node");
+                           } else {
+                               retryLater();
                            }
-                           mesh_.call(peer, "node/snapshot", {{"config", config_->revision}}, VerifyTimeout,
-                                      [this, finish, retryLater](const absl::StatusOr<Json> &answer) {
-                                          if (answer.ok() && answer->is_object()) {
-                                              applySnapshot(*answer);
-                                              finish("node");
-                                          } else {
-                                              retryLater();
-                                          }
-                                      });
                        });
+        });
 }
 
 void Node::slowTick()
@@ -680,6 +718,9 @@
         for (const serving::SuspectStatement &statement : peer.crashSuspects) {
             crashSuspects_.merge(statement);
         }
+        if (peer.evacuations && followsEvacuations()) {
+            mergeEvacuations(*peer.evacuations, peer.name);
+        }
     }
     replicaJournal_.expire(net::loopNow());
     unregisterLostNodes();
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -78,6 +78,7 @@
     std::function<std::optional<serving::GatewayConfig>(const objects::StoredObject &)> parseConfig;
     std::string replicaKind;
     std::function<std::optional<serving::ReplicaEntry>(const objects::StoredObject &)> parseReplica;
+    std::string evacuationKind; ///< Objects with the names of the evacuated zones; empty if there are none.
     /// Parses a submitted job. The message of an error is sent to the client.
     std::function<absl::StatusOr<jobs::JobSpec>(serving::InboundRequest, const std::string &workspace)> parseJob;
     net::MemoryBudget *memory = nullptr; ///< Budget for bodies; null for none.
@@ -164,6 +165,18 @@
     /// True if the replicas known here follow the registry, directly or through a peer.
     bool replicasCurrent() const;
     bool registryUnstable() const;
+    /// True if zones can be evacuated in this deployment.
+    bool followsEvacuations() const;
+    /// False as long as a node that has just started may send requests to an evacuated zone.
+    bool evacuationsKnown() const;
+    void onEvacuationObject(const objects::ObjectChange &change);
+    /// Merges what the mirror has reported.
+    void syncEvacuations();
+    void mergeEvacuations(const serving::EvacuationView &view, std::string_view source);
+    /// Lists the evacuated zones in the store once; then calls `done`, with false if the store doesn't answer.
+    void listEvacuations(std::function<void(bool)> done);
+    /// Logs which replicas have become cold or warm.
+    void reportColdReplicas(Instant now);
     void onNodeObject(const objects::ObjectChange &change);
     void registerNode();
     Json registration() const;
@@ -215,6 +228,10 @@
     objects::ObjectMirror configMirror_;
     objects::ObjectMirror replicaMirror_;
     objects::ObjectMirror nodeMirror_;
+    objects::ObjectMirror evacuationMirror_; ///< Runs while this node watches the replicas.
+    serving::EvacuationView mirroredEvacuations_; ///< As reported by the mirror so far; its revision isn't set.
+    serving::Evacuations evacuations_;
+    std::set<std::string> coldReplicas_; ///< Those last reported as cold.
     std::optional<serving::GatewayConfig> config_;
     objects::StoredObject configObject_; ///< As stored, to be sent to peers.
     ReplicaJournal replicaJournal_;
--- a/src/node/nodemetrics.cpp
+++ b/src/node/nodemetrics.cpp
@@ -102,10 +102,12 @@
 void NodeMetrics::setReplicas(const serving::ReplicaTable &replicas, Instant now)
 {
     std::map<std::pair<std::string, ReplicaCondition>, int> counts;
+    std::map<std::string, int> cold;
     std::map<std::string, std::pair<int, double>> limits; // Number of limited replicas, and the sum of their limits.
     for (const auto &[id, replica] : replicas.all()) {
         services_.insert(replica.entry.service);
         auto &[limited, limit] = limits[replica.entry.service];
+        cold[replica.entry.service] += replica.isCold(now) ? 1 : 0;
         limited += replica.requestLimit ? 1 : 0;
         limit += replica.requestLimit.value_or(0);
         ++counts[{replica.entry.service, conditionOf(replica, now)}];
@@ -117,6 +119,10 @@
         }
     }
     for (const std::string &service : services_) {
+        registry_
+            .gauge("currantlug_replicas_cold", "Replicas that are cold after their start, as this node knows.",
+                   {{"service", service}})
+            .set(cold[service]);
         registry_
             .gauge("currantlug_replicas_limited", "Replicas that limit their request rate, as this node knows.",
                    {{"service", service}})
@@ -154,6 +160,8 @@
             .set(absl::ToDoubleSeconds(age));
     }
     set("currantlug_nodes_in_contact", "Peers that answered recently.", static_cast<double>(status.nodesInContact));
+    set("currantlug_zones_evacuated", "Zones whose replicas get no requests.",
+        static_cast<double>(status.evacuatedZones));
     set("currantlug_jobs_open", "Batch jobs that this node runs.", static_cast<double>(status.openJobs));
     set("currantlug_connections_opened", "Connections opened since the start.",
         static_cast<double>(status.connectionsOpened));
--- a/src/node/nodemetrics.h
+++ b/src/node/nodemetrics.h
@@ -46,6 +46,7 @@
     std::map<StoreView, absl::Duration> viewAges; ///< Time since each view was last confirmed.
     std::uint64_t configVersion = 0; ///< 0 if there is none yet.
     std::size_t nodesInContact = 0; ///< Excludes this node.
+    std::size_t evacuatedZones = 0;
     std::size_t openJobs = 0;
     std::map<jobs::ItemState, std::size_t> items; ///< Number of items of the open jobs by state.
     std::uint64_t connectionsOpened = 0; ///< To replicas, peers and the object store since the start.
--- a/src/node/nodepermits.cpp
+++ b/src/node/nodepermits.cpp
@@ -21,12 +21,19 @@
 
 Json toJson(const serving::PermitRequest &request)
 {
-    return {{"replica", {request.replica.id, request.replica.address, request.replica.startedAtMs}},
-            {"zone", request.availabilityZone},
-            {"limit", request.requestsPerSecond},
-            {"stated_ms_ago", absl::ToInt64Milliseconds(net::loopNow() - request.limitStatedAt)},
-            {"count", request.count},
-            {"wait_ms", absl::ToDoubleMilliseconds(request.maxWait)}};
+    Json json{{"replica", {request.replica.id, request.replica.address, request.replica.startedAtMs}},
+              {"zone", request.availabilityZone},
+              {"limit", request.requestsPerSecond},
+              {"count", request.count},
+              {"wait_ms", absl::ToDoubleMilliseconds(request.maxWait)}};
+    if (request.statedLimit) {
+        json["stated"] = *request.statedLimit;
+        json["stated_ms_ago"] = absl::ToInt64Milliseconds(net::loopNow() - request.limitStatedAt);
+    }
+    if (request.coldLimit) {
+        json["cold"] = *request.coldLimit;
+    }
+    return json;
 }
 
 std::optional<serving::PermitRequest> parsePermitRequest(const Json &body)
@@ -40,6 +47,14 @@
     request.replica = {replica[0].get<std::string>(), replica[1].get<std::string>(), replica[2].get<std::int64_t>()};
     request.availabilityZone = fieldOr<std::string>(body, "zone", "");
     request.requestsPerSecond = fieldOr<double>(body, "limit", 0);
+    if (const Json cold = fieldOrNull(body, "cold"); cold.is_number()) {
+        request.coldLimit = cold.get<double>();
+    }
+    if (const Json stated = fieldOrNull(body, "stated"); stated.is_number()) {
+        request.statedLimit = stated.get<double>();
+    } else if (!request.coldLimit) {
+        request.statedLimit = request.requestsPerSecond; // Asked by a node of an earlier build.
+    }
     request.limitStatedAt = net::loopNow() - absl::Milliseconds(fieldOr<std::int64_t>(body, "stated_ms_ago", 0));
     request.count = fieldOr<int>(body, "count", 1);
     request.maxWait = absl::Milliseconds(fieldOr<double>(body, "wait_ms", 0));
@@ -88,13 +103,27 @@
 serving::PermitReply Node::issuePermits(const serving::PermitRequest &request)
 {
     serving::PermitRequest current = request;
-    onReplicaLimit({request.replica, request.requestsPerSecond, request.limitStatedAt}, StatementSource::Peer);
+    if (request.statedLimit) {
+        onReplicaLimit({request.replica, request.statedLimit, request.limitStatedAt}, StatementSource::Peer);
+    }
+    const Instant now = net::loopNow();
     const serving::Replica *replica = replicas_.find(request.replica);
     if (replica != nullptr && replica->requestLimit) {
         current.requestsPerSecond = *replica->requestLimit;
     }
+    if (replica != nullptr && replica->isCold(now) && !current.coldLimit) {
+        current.coldLimit = replica->coldLimit;
+    }
+    if (current.coldLimit) {
+        // Nodes out of contact with this one may have another issuer: each group issues its share of the rate.
+        const serving::ColdSchedule schedule =
+            serving::coldSchedule(*current.coldLimit, settings_.coldOver, settings_.coldSlack);
+        current.requestsPerSecond =
+            std::min(current.requestsPerSecond, schedule.requestsPerSecond) * mesh_.contactShare();
+        current.burstTime = schedule.burstTime;
+    }
     permitLedger_.recordMembershipChange(mesh_.membershipChangedAt());
-    serving::PermitReply reply = permitLedger_.issue(current, net::loopNow());
+    serving::PermitReply reply = permitLedger_.issue(current, now);
     metrics_.recordPermits(reply.delays.size());
     return reply;
 }
@@ -134,10 +163,11 @@
 
 void Node::requestWantedPermits()
 {
-    for (const serving::Replica *replica : replicas_.takePermitsWanted(net::loopNow())) {
+    const Instant now = net::loopNow();
+    for (const serving::Replica *replica : replicas_.takePermitsWanted(now)) {
         const int count =
-            std::max(1, static_cast<int>(std::ceil(*replica->requestLimit * absl::ToDoubleSeconds(PermitBatchTime))));
-        const serving::PermitRequest request = serving::permitRequestFor(*replica, count, PermitBatchTime);
+            std::max(1, static_cast<int>(std::ceil(*replica->limitAt(now) * absl::ToDoubleSeconds(PermitBatchTime))));
+        const serving::PermitRequest request = serving::permitRequestFor(*replica, count, PermitBatchTime, now);
         requestPermits(request, [this, incarnation = request.replica](const serving::PermitReply &reply) {
             if (serving::Replica *known = replicas_.find(incarnation)) {
                 replicas_.addPermits(*known, reply, net::loopNow());
--- a/src/node/nodesettings.h
+++ b/src/node/nodesettings.h
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -36,6 +37,12 @@
     absl::Duration leaseTtl = absl::Seconds(3); ///< Two different holders must not act within this time.
     absl::Duration configApplyTime = absl::Milliseconds(2500); ///< Within which a configuration must be in force.
     absl::Duration drainTime = absl::Milliseconds(2500); ///< Within which a leaving replica must get no more requests.
+    /// Within which the replicas of an evacuated zone must get no more requests; zones are never evacuated if not set.
+    std::optional<absl::Duration> evacuateTime;
+    /// A cold replica must get no more than `coldOver` times the rate that it takes, and `coldSlack` requests more, in
+    /// any second.
+    double coldOver = 1.5;
+    double coldSlack = 5;
     absl::Duration usageWindow = absl::Seconds(5);
     absl::Duration jobRetention = absl::Seconds(120); ///< Time for which a job can be read after its submission.
     absl::Duration maxAddressTtl = absl::Seconds(5); ///< Upper bound for the TTL of answers to address queries.
--- a/src/node/nodestate.cpp
+++ b/src/node/nodestate.cpp
@@ -54,6 +54,13 @@
     }
     config_ = std::move(*config);
     configObject_ = object;
+    std::map<std::string, serving::ColdRule> coldRules;
+    for (const auto &[name, service] : config_->services) {
+        if (service.coldTime > absl::ZeroDuration() && service.coldRequestsPerSecond > 0) {
+            coldRules[name] = {service.coldTime, service.coldRequestsPerSecond};
+        }
+    }
+    replicas_.setColdRules(std::move(coldRules));
     telemetry::log(Level::Info, "config", "in_force",
                    {{"version", config_->version},
                     {"revision", config_->revision},
@@ -117,7 +124,7 @@
                         {"spot", entry->spot},
                         {"revision", change.object.revision}});
     }
-    replicas_.update(std::move(*entry));
+    replicas_.update(std::move(*entry), now);
     jobs_->dispatchItems();
 }
 
@@ -250,9 +257,15 @@
         mirrorChecked_ = false;
         replicaMirror_.forget();
         replicaMirror_.start();
+        if (followsEvacuations()) {
+            evacuationMirror_.forget();
+            mirroredEvacuations_ = {};
+            evacuationMirror_.start();
+        }
         configMirror_.setWatchWait(boundedWatchWait(settings_.viewAgeLimit()));
     } else {
         replicaMirror_.stop();
+        evacuationMirror_.stop();
         configMirror_.setWatchWait(FollowerWatchWait);
     }
 }
@@ -292,6 +305,7 @@
     info.replicaLimits.clear();
     info.crashSuspects.clear();
     info.modelDemand.clear();
+    info.evacuations.reset();
     info.configRevision = 0;
     return node::toJson(info);
 }
@@ -373,6 +387,9 @@
     if (reply.contains("config")) {
         applyConfig(decodeObject(reply["config"]), "node");
     }
+    if (reply.contains("evacuations") && followsEvacuations()) {
+        mergeEvacuations(parseEvacuationView(reply["evacuations"]), "snapshot");
+    }
     if (!reply.contains("replicas") || replicasCurrent()) {
         return;
     }
--- a/src/node/peermesh.cpp
+++ b/src/node/peermesh.cpp
@@ -56,6 +56,37 @@
     return statement;
 }
 
+Json toJson(const serving::EvacuationView &view)
+{
+    Json ended = Json::array();
+    for (const auto &[zone, revision] : view.ended) {
+        ended.push_back({zone, revision});
+    }
+    return {{"revision", view.revision}, {"zones", view.zones}, {"ended", std::move(ended)}};
+}
+
+serving::EvacuationView parseEvacuationView(const Json &value)
+{
+    serving::EvacuationView view;
+    const Json zones = fieldOrNull(value, "zones");
+    if (!zones.is_array()) {
+        return view;
+    }
+    for (const Json &zone : zones) {
+        if (zone.is_string()) {
+            view.zones.insert(zone.get<std::string>());
+        }
+    }
+    const Json ended = fieldOrNull(value, "ended");
+    for (const Json &end : ended) {
+        if (end.is_array() && end.size() == 2 && end[0].is_string() && end[1].is_number_integer()) {
+            view.ended[end[0].get<std::string>()] = end[1].get<std::uint64_t>();
+        }
+    }
+    view.revision = fieldOr<std::uint64_t>(value, "revision", 0);
+    return view;
+}
+
 Json toJson(const NodeInfo &info)
 {
     Json json{{"name", info.name},
@@ -83,6 +114,9 @@
     for (const auto &[model, rate] : info.modelDemand) {
         json["demand"][model] = rate;
     }
+    if (info.evacuations) {
+        json["evacuations"] = toJson(*info.evacuations);
+    }
     for (const serving::SuspectStatement &statement : info.crashSuspects) {
         json["suspects"].push_back(toJson(statement));
     }
@@ -115,6 +149,9 @@
                 {replica[0].get<std::string>(), replica[1].get<std::string>(), replica[2].get<std::int64_t>()});
         }
     }
+    if (const Json evacuations = fieldOrNull(value, "evacuations"); evacuations.is_object()) {
+        info.evacuations = parseEvacuationView(evacuations);
+    }
     const Json demand = fieldOrNull(value, "demand");
     for (const auto &[model, rate] : demand.items()) {
         if (demand.is_object() && rate.is_number()) {
@@ -486,6 +523,11 @@
     return peer.refused || now - std::max(peer.probedSince, peer.lastHeard) > settings_.lostAfter;
 }
 
+double PeerMesh::contactShare() const
+{
+    return static_cast<double>(reachable().size() + 1) / static_cast<double>(peers_.size() + 1);
+}
+
 bool PeerMesh::allInContact() const
 {
     return std::all_of(peers_.begin(), peers_.end(), [this](const auto &entry) { return inContact(entry.second); });
--- a/src/node/peermesh.h
+++ b/src/node/peermesh.h
@@ -14,6 +14,7 @@
 #include "net/httpserver.h"
 #include "scheduling/modeldemand.h"
 #include "serving/crashsuspects.h"
+#include "serving/evacuations.h"
 #include "serving/replicatable.h"
 
 #include <absl/status/statusor.h>
@@ -47,10 +48,14 @@
     scheduling::DemandByModel modelDemand; ///< Of the trainers whose jobs the node runs.
     /// Requests under which replicas ended. The times are those of this process.
     std::vector<serving::SuspectStatement> crashSuspects;
+    std::optional<serving::EvacuationView> evacuations; ///< None if zones aren't evacuated in this deployment.
 };
 
 Json toJson(const serving::SuspectStatement &statement);
 std::optional<serving::SuspectStatement> parseSuspectStatement(const Json &value);
+Json toJson(const serving::EvacuationView &view);
+/// Without a revision if the value can't be read.
+serving::EvacuationView parseEvacuationView(const Json &value);
 Json toJson(const NodeInfo &info);
 std::optional<NodeInfo> parseNodeInfo(const Json &value);
 
@@ -111,6 +116,8 @@
     /// True if that incarnation of the node has ended, is stopping, refuses connections or hasn't replied for some
     /// time.
     bool isLost(const std::string &node, const std::string &incarnation) const;
+    /// Part of the known nodes, this one included, that are in contact with this one.
+    double contactShare() const;
     /// True if every known peer is in contact.
     bool allInContact() const;
     /// Names of the known peers that aren't in contact.
--- a/src/node/replicafollower.cpp
+++ b/src/node/replicafollower.cpp
@@ -45,6 +45,9 @@
     if (reply.ok()) {
         handlers_.onConfigRevision(source, fieldOr<std::uint64_t>(*reply, "config", 0));
     }
+    if (reply.ok() && reply->is_object() && reply->contains("evacuations") && handlers_.onEvacuations) {
+        handlers_.onEvacuations(parseEvacuationView((*reply)["evacuations"]));
+    }
     const auto delta = reply.ok() ? parseReplicaDelta(*reply) : std::nullopt;
     if (!delta) {
         telemetry::log(Level::Info, "node", "source_failed",
--- a/src/node/replicafollower.h
+++ b/src/node/replicafollower.h
@@ -24,6 +24,8 @@
     std::function<void(const ReplicaDelta &)> onDelta;
     /// Receives the revision of a source's configuration with each answer, 0 if the source has none.
     std::function<void(const std::string &source, std::uint64_t revision)> onConfigRevision;
+    /// Receives the evacuated zones that a source knows. May be empty.
+    std::function<void(const serving::EvacuationView &)> onEvacuations = {};
 };
 
 class ReplicaFollower
--- a/src/serving/gatewayconfig.h
+++ b/src/serving/gatewayconfig.h
@@ -66,6 +66,8 @@
     std::string name;
     std::vector<std::string> models; ///< Empty for plain services.
     std::optional<ScalingLimits> scaling;
+    absl::Duration coldTime; ///< For which a replica is cold after its start; zero if it never is.
+    double coldRequestsPerSecond = 0; ///< That a cold replica takes from all nodes together.
 };
 
 struct Workspace
--- a/src/serving/permitissuer.cpp
+++ b/src/serving/permitissuer.cpp
@@ -7,12 +7,16 @@
 
 namespace currantlug::serving {
 
-PermitRequest permitRequestFor(const Replica &replica, int count, absl::Duration maxWait)
+PermitRequest permitRequestFor(const Replica &replica, int count, absl::Duration maxWait, Instant now)
 {
     PermitRequest request;
     request.replica = incarnationOf(replica.entry);
     request.availabilityZone = replica.entry.availabilityZone;
-    request.requestsPerSecond = replica.requestLimit.value();
+    request.requestsPerSecond = replica.limitAt(now).value();
+    request.statedLimit = replica.requestLimit;
+    if (replica.isCold(now)) {
+        request.coldLimit = replica.coldLimit;
+    }
     request.limitStatedAt = replica.limitStatedAt;
     request.count = count;
     request.maxWait = maxWait;
--- a/src/serving/permitissuer.h
+++ b/src/serving/permitissuer.h
@@ -7,6 +7,7 @@
 #include "serving/replica.h"
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -17,14 +18,18 @@
 {
     ReplicaIncarnation replica;
     std::string availabilityZone; ///< Of the replica.
-    double requestsPerSecond = 0; ///< The limit as the replica stated it.
+    double requestsPerSecond = 0; ///< Limit in force for the node that asks.
+    std::optional<double> statedLimit; ///< The limit as the replica stated it; none if it is only cold.
     Instant limitStatedAt;
+    std::optional<double> coldLimit; ///< Set if the replica is cold for the node that asks.
+    /// The requests of this time may be sent at once to an idle replica; none for the default of the ledger.
+    std::optional<absl::Duration> burstTime;
     int count = 1; ///< Number of permits wanted.
     absl::Duration maxWait; ///< Permits that become usable later than this are of no use.
 };
 
-/// `replica`: one that limits its request rate.
-PermitRequest permitRequestFor(const Replica &replica, int count, absl::Duration maxWait);
+/// `replica`: one that limits its request rate or is cold.
+PermitRequest permitRequestFor(const Replica &replica, int count, absl::Duration maxWait, Instant now);
 
 struct PermitReply
 {
--- a/src/serving/permitledger.h
+++ b/src/serving/permitledger.h
@@ -25,6 +25,17 @@
     absl::Duration idleTtl = absl::Seconds(30); ///< Schedules without requests are discarded after this time.
 };
 
+/// Rate and burst at which the permits of a cold replica are issued.
+struct ColdSchedule
+{
+    double requestsPerSecond = 0;
+    absl::Duration burstTime;
+};
+
+/// Schedule with which the requests that arrive in any second stay within `requestsPerSecond` * `over` + `slack`.
+/// Permits are used up to ReplicaTableSettings::coldPermitTtl late, and requests differ in the time that they take.
+ColdSchedule coldSchedule(double requestsPerSecond, double over, double slack);
+
 class PermitLedger
 {
 public:
@@ -49,10 +60,10 @@
     };
 
     /// Starts or continues the schedule of a replica with the rate stated now.
-    Schedule &scheduleFor(const PermitRequest &request, double rate, Instant now);
+    Schedule &scheduleFor(const PermitRequest &request, double rate, absl::Duration burstTime, Instant now);
 
     PermitLedgerSettings settings_;
-    std::map<std::string, Schedule> schedules_; ///< By incarnation of the replica.
+    std::map<std::string, Schedule> schedules_; ///< By id and address of the replica.
     Instant membershipChangedAt_ = Instant(-absl::InfiniteDuration());
 };
 
--- a/src/serving/replica.h
+++ b/src/serving/replica.h
@@ -6,6 +6,7 @@
 
 #include <absl/time/time.h>
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -26,6 +27,7 @@
     bool spot = false; ///< May be reclaimed at short notice.
     std::int64_t startedAtMs = 0; ///< Start of this incarnation, Unix time. A later incarnation may reuse the id.
     std::map<std::string, std::uint64_t> weightVersions; ///< By model.
+    std::optional<absl::Duration> coldLeft; ///< How much longer the replica is cold; none if it doesn't say.
 };
 
 /// Load that the replica reported with a response.
@@ -60,6 +62,11 @@
     Instant nextPermitAt; ///< No further permit is expected before this time.
     bool permitWanted = false; ///< An item or a background call found no permit.
     bool permitRequested = false; ///< Permits for those are on their way.
+    /// Requests a second that the replica takes from all nodes together while it is cold; 0 if its service never is.
+    double coldLimit = 0;
+    /// End of the cold state; infinite after a failure, until the replica has answered or registered again.
+    Instant coldUntil = Instant(-absl::InfiniteDuration());
+    Instant firstSeenAt; ///< Time at which this incarnation was first registered here.
     int inFlight = 0; ///< Requests that this node has in progress at the replica.
     int failures = 0; ///< Consecutive failures.
     Instant backoffUntil; ///< Set after a failure or a refusal; the replica is avoided until then.
@@ -72,6 +79,13 @@
 
     /// True if neither the registration nor the replica itself says that it leaves.
     bool acceptsRequests() const { return !entry.draining && !leaving; }
+    /// True while the replica ends if it gets more than a few requests a second.
+    bool isCold(Instant now) const { return coldLimit > 0 && now < coldUntil; }
+    /// Requests a second that may be sent to the replica now, by all nodes together; none if not limited.
+    std::optional<double> limitAt(Instant now) const
+    {
+        return isCold(now) ? std::min(requestLimit.value_or(coldLimit), coldLimit) : requestLimit;
+    }
 };
 
 /// Identifies one incarnation of a replica.
--- a/src/serving/replicatable.cpp
+++ b/src/serving/replicatable.cpp
@@ -33,12 +33,14 @@
 
 } // namespace
 
-void ReplicaTable::update(ReplicaEntry entry)
+void ReplicaTable::update(ReplicaEntry entry, Instant now)
 {
     const auto found = replicas_.find(entry.id);
     if (found == replicas_.end()) {
         Replica &replica = replicas_[entry.id];
         replica.entry = std::move(entry);
+        replica.firstSeenAt = now;
+        updateColdState(replica, now);
         return;
     }
     Replica &replica = found->second;
@@ -47,9 +49,65 @@
         const int inFlight = replica.inFlight;
         replica = Replica{};
         replica.inFlight = inFlight;
+        replica.firstSeenAt = now;
     }
     replica.entry = std::move(entry);
     replica.removeAt = Instant(absl::InfiniteDuration());
+    updateColdState(replica, now);
+}
+
+const ColdRule *ReplicaTable::coldRule(const Replica &replica) const
+{
+    const auto found = coldRules_.find(replica.entry.service);
+    return found == coldRules_.end() ? nullptr : &found->second;
+}
+
+void ReplicaTable::updateColdState(Replica &replica, Instant now) const
+{
+    const ColdRule *rule = coldRule(replica);
+    const bool isNewRule = rule != nullptr && replica.coldLimit == 0;
+    replica.coldLimit = rule == nullptr ? 0 : rule->requestsPerSecond;
+    if (rule == nullptr) {
+        replica.coldUntil = Instant(-absl::InfiniteDuration());
+        return;
+    }
+    const Instant statedEnd = now + replica.entry.coldLeft.value_or(absl::ZeroDuration());
+    if (replica.coldUntil == Instant(absl::InfiniteDuration())) {
+        // The registration may be older than the failure, so it can't say that the replica is warm.
+        replica.coldUntil = std::max(now + rule->duration, statedEnd);
+    } else if (isNewRule && !replica.entry.coldLeft) {
+        replica.coldUntil = replica.firstSeenAt + rule->duration;
+    } else {
+        replica.coldUntil = std::max(replica.coldUntil, statedEnd);
+    }
+}
+
+void ReplicaTable::setColdRules(std::map<std::string, ColdRule> rules)
+{
+    coldRules_ = std::move(rules);
+    for (auto &[id, replica] : replicas_) {
+        const ColdRule *rule = coldRule(replica);
+        const bool isNewRule = rule != nullptr && replica.coldLimit == 0;
+        replica.coldLimit = rule == nullptr ? 0 : rule->requestsPerSecond;
+        if (isNewRule) {
+            replica.coldUntil = replica.firstSeenAt + replica.entry.coldLeft.value_or(rule->duration);
+        }
+    }
+}
+
+void ReplicaTable::setEvacuated(const std::string &availabilityZone, bool evacuated, Instant now)
+{
+    if (evacuated) {
+        evacuatedZones_.insert(availabilityZone);
+        return;
+    }
+    evacuatedZones_.erase(availabilityZone);
+    for (auto &[id, replica] : replicas_) {
+        const ColdRule *rule = coldRule(replica);
+        if (rule != nullptr && replica.entry.availabilityZone == availabilityZone) {
+            replica.coldUntil = std::max(replica.coldUntil, now + rule->duration);
+        }
+    }
 }
 
 void ReplicaTable::remove(const std::string &id, bool registryUnstable, Instant now)
@@ -141,7 +199,8 @@
 
 bool ReplicaTable::isEligible(const Replica &replica, const RegionSet &regions, Instant now) const
 {
-    return replica.acceptsRequests() && replica.removeAt > now && regions.allows(regionOf(replica));
+    return replica.acceptsRequests() && !isEvacuated(replica) && replica.removeAt > now
+        && regions.allows(regionOf(replica));
 }
 
 int ReplicaTable::zoneDistance(const Replica &replica) const
@@ -163,15 +222,16 @@
             continue;
         }
         absl::Duration permitWait;
-        if (replica.requestLimit && !hasPermit(replica, now)) {
+        const bool isLimited = replica.limitAt(now).has_value();
+        if (isLimited && !hasPermit(replica, now)) {
             permitWait = std::max(absl::ZeroDuration(), replica.nextPermitAt - now);
         }
-        if (replica.requestLimit && (!limited.allowed || permitWait > limited.maxPermitWait)) {
+        if (isLimited && (!limited.allowed || permitWait > limited.maxPermitWait)) {
             continue;
         }
         const std::tuple<bool, bool, bool, absl::Duration, int, int> rank{replica.backoffUntil > now,
                                                                           replica.inFlight >= replica.entry.slots,
-                                                                          replica.requestLimit.has_value(),
+                                                                          isLimited,
                                                                           permitWait,
                                                                           replica.inFlight / 2 + zoneDistance(replica),
                                                                           replica.inFlight};
@@ -185,7 +245,7 @@
 
 bool ReplicaTable::hasPermit(const Replica &replica, Instant now)
 {
-    return !replica.requestLimit
+    return !replica.limitAt(now)
         || std::any_of(replica.permits.begin(), replica.permits.end(),
                        [now](const Permit &permit) { return permit.usableAt <= now && now < permit.expiresAt; });
 }
@@ -193,15 +253,16 @@
 void ReplicaTable::usePermit(Replica &replica, Instant now)
 {
     std::erase_if(replica.permits, [now](const Permit &permit) { return permit.expiresAt <= now; });
-    if (replica.requestLimit && !replica.permits.empty()) {
+    if (replica.limitAt(now) && !replica.permits.empty()) {
         replica.permits.pop_front();
     }
 }
 
 void ReplicaTable::addPermits(Replica &replica, const PermitReply &reply, Instant now) const
 {
+    const absl::Duration ttl = replica.isCold(now) ? settings_.coldPermitTtl : settings_.permitTtl;
     for (const absl::Duration delay : reply.delays) {
-        replica.permits.push_back({now + delay, now + delay + settings_.permitTtl});
+        replica.permits.push_back({now + delay, now + delay + ttl});
     }
     std::sort(replica.permits.begin(), replica.permits.end(),
               [](const Permit &one, const Permit &other) { return one.usableAt < other.usableAt; });
@@ -214,7 +275,7 @@
 {
     std::optional<absl::Duration> next;
     for (const auto &[id, replica] : replicas_) {
-        if (replica.entry.service == service && replica.requestLimit && isEligible(replica, regions, now)) {
+        if (replica.entry.service == service && replica.limitAt(now) && isEligible(replica, regions, now)) {
             next = std::min(next.value_or(absl::InfiniteDuration()),
                             std::max(absl::ZeroDuration(), replica.nextPermitAt - now));
         }
@@ -226,7 +287,7 @@
 {
     std::vector<Replica *> wanted;
     for (auto &[id, replica] : replicas_) {
-        if (replica.permitWanted && !replica.permitRequested && replica.requestLimit
+        if (replica.permitWanted && !replica.permitRequested && replica.limitAt(now)
             && replica.nextPermitAt - now <= settings_.itemPermitWait) {
             replica.permitWanted = false;
             replica.permitRequested = true;
@@ -263,7 +324,7 @@
             withoutPermit.push_back(&replica);
             continue;
         }
-        const std::tuple<bool, int, int> rank{replica.requestLimit.has_value(), load / 2 + zoneDistance(replica), load};
+        const std::tuple<bool, int, int> rank{replica.limitAt(now).has_value(), load / 2 + zoneDistance(replica), load};
         if (best == nullptr || rank < bestRank) {
             best = &replica;
             bestRank = rank;
@@ -277,7 +338,7 @@
 
 bool ReplicaTable::canRun(const Replica &replica, const ItemRequirements &requirements) const
 {
-    if (replica.entry.service != requirements.service || !replica.acceptsRequests()
+    if (replica.entry.service != requirements.service || !replica.acceptsRequests() || isEvacuated(replica)
         || !requirements.regions.allows(regionOf(replica))) {
         return false;
     }
@@ -312,7 +373,7 @@
         }
         // The preferred replica is chosen over less loaded ones until more than half of its slots are taken.
         const bool notPreferred = id != requirements.preferred || replica.inFlight * 2 > replica.entry.slots;
-        const std::tuple<bool, int, bool, bool, bool, int, int> rank{replica.requestLimit.has_value(),
+        const std::tuple<bool, int, bool, bool, bool, int, int> rank{replica.limitAt(now).has_value(),
                                                                      slownessRank(replica.eventGap, fastGap),
                                                                      !planned,
                                                                      replica.entry.spot,
@@ -355,14 +416,21 @@
     }
 }
 
-void ReplicaTable::recordSuccess(Replica &replica)
+void ReplicaTable::recordSuccess(Replica &replica, Instant now)
 {
     replica.failures = 0;
     replica.backoffUntil = Instant();
+    const ColdRule *rule = coldRule(replica);
+    if (rule != nullptr && replica.coldUntil == Instant(absl::InfiniteDuration())) {
+        replica.coldUntil = now + rule->duration;
+    }
 }
 
 void ReplicaTable::recordFailure(Replica &replica, Instant now)
 {
+    if (replica.coldLimit > 0) {
+        replica.coldUntil = Instant(absl::InfiniteDuration()); // It may have ended, and be cold when it returns.
+    }
     if (replica.backoffUntil > now) {
         return; // Requests that fail at the same time count as one failure.
     }
--- a/src/serving/replicatable.h
+++ b/src/serving/replicatable.h
@@ -37,6 +37,8 @@
     absl::Duration liftedLimitTtl = absl::Seconds(5);
     /// A permit that wasn't used by this time after it became usable is void: the rate must hold in any few seconds.
     absl::Duration permitTtl = absl::Milliseconds(500);
+    /// The same for cold replicas, whose rate must hold in any second.
+    absl::Duration coldPermitTtl = absl::Milliseconds(200);
     /// Longest wait for the permits of items and background calls.
     absl::Duration itemPermitWait = absl::Milliseconds(300);
     /// A reported load says nothing about the present after this time, a few times that of a plain request.
@@ -51,6 +53,13 @@
     Instant statedAt;
 };
 
+/// How the replicas of a service behave after their start.
+struct ColdRule
+{
+    absl::Duration duration; ///< Time for which a replica is cold.
+    double requestsPerSecond = 0; ///< That a cold replica takes from all nodes together.
+};
+
 class ReplicaTable
 {
 public:
@@ -59,7 +68,15 @@
     {
     }
 
-    void update(ReplicaEntry entry);
+    /// `now` matters only for services with a cold rule.
+    void update(ReplicaEntry entry, Instant now = Instant());
+    /// Sets the rules by service. The replicas of other services are never cold.
+    void setColdRules(std::map<std::string, ColdRule> rules);
+    /// Begins or ends the evacuation of an availability zone: its replicas get no requests meanwhile, and are cold
+    /// afterwards.
+    void setEvacuated(const std::string &availabilityZone, bool evacuated, Instant now);
+    const std::set<std::string> &evacuatedZones() const { return evacuatedZones_; }
+    bool isEvacuated(const Replica &replica) const { return evacuatedZones_.contains(replica.entry.availabilityZone); }
     /// `registryUnstable`: there is or recently was a registry outage, so a live replica may lose its entry and
     /// register again.
     void remove(const std::string &id, bool registryUnstable, Instant now);
@@ -131,7 +148,7 @@
 
     /// Records the load that the replica reported with a response.
     static void recordLoad(Replica &replica, const std::optional<ReplicaLoad> &load, Instant now);
-    void recordSuccess(Replica &replica);
+    void recordSuccess(Replica &replica, Instant now);
     void recordFailure(Replica &replica, Instant now);
     /// Records that the replica refused a request without running it.
     void recordRefusal(Replica &replica, const std::optional<ReplicaLoad> &load, Instant now);
@@ -141,6 +158,10 @@
     std::string_view regionOf(const Replica &replica) const;
     /// True if new work for these regions may be sent to the replica, as far as it doesn't depend on its load.
     bool isEligible(const Replica &replica, const RegionSet &regions, Instant now) const;
+    /// Rule of the replica's service; null if it has none.
+    const ColdRule *coldRule(const Replica &replica) const;
+    /// Applies what the registration says, and that the incarnation is new, to the cold state.
+    void updateColdState(Replica &replica, Instant now) const;
     int zoneDistance(const Replica &replica) const;
     /// Number of requests at the replica, as far as known: those of this node, or more if the replica reported more.
     int knownLoad(const Replica &replica, Instant now) const;
@@ -148,6 +169,8 @@
 
     ReplicaTableSettings settings_;
     std::map<std::string, Replica> replicas_;
+    std::set<std::string> evacuatedZones_;
+    std::map<std::string, ColdRule> coldRules_; ///< By service.
 };
 
 } // namespace currantlug::serving
--- a/src/serving/requestrunner.cpp
+++ b/src/serving/requestrunner.cpp
@@ -150,7 +150,7 @@
         ReplicaTable::usePermit(*replica, now);
         sendAttempt(active, *replica);
     } else {
-        awaitPermit(active, *replica);
+        awaitPermit(active, *replica, now);
     }
 }
 
@@ -174,11 +174,11 @@
     finish(active, "limited", status);
 }
 
-void RequestRunner::awaitPermit(const ActiveRequestPtr &active, const Replica &replica)
+void RequestRunner::awaitPermit(const ActiveRequestPtr &active, const Replica &replica, Instant now)
 {
     active->waitingForPermit = true;
     const ReplicaIncarnation incarnation = incarnationOf(replica.entry);
-    permits_(permitRequestFor(replica, 1, permitWaitNow(*active)),
+    permits_(permitRequestFor(replica, 1, permitWaitNow(*active), now),
              [this, active, incarnation](const PermitReply &reply) { onPermitReply(active, incarnation, reply); });
 }
 
@@ -212,11 +212,12 @@
     }
     const Instant now = net::loopNow();
     Replica *replica = replicas_.find(incarnation);
-    if (replica != nullptr && replica->acceptsRequests() && ReplicaTable::hasPermit(*replica, now)) {
+    if (replica != nullptr && replica->acceptsRequests() && !replicas_.isEvacuated(*replica)
+        && ReplicaTable::hasPermit(*replica, now)) {
         ReplicaTable::usePermit(*replica, now);
         sendAttempt(active, *replica);
     } else {
-        // Another request has used the permit, or the replica leaves.
+        // Another request has used the permit, the replica leaves, or its zone is evacuated.
         startAttempt(active);
     }
 }
@@ -356,7 +357,7 @@
         return;
     }
     if (replica != nullptr && !isServerError(response->status)) {
-        replicas_.recordSuccess(*replica);
+        replicas_.recordSuccess(*replica, now);
     }
     if (!isServerError(response->status) && !suspects_.empty() && suspects_.recordAnswer(digestOf(*active), now)) {
         telemetry::log(Level::Info, "request", "suspect_cleared",
@@ -402,6 +403,10 @@
 
 void RequestRunner::checkReplica(const Replica &replica, int triesLeft)
 {
+    if (replicas_.isEvacuated(replica)) {
+        onReplicaChecked(replica, ReplicaLiveness::Unknown);
+        return;
+    }
     port_.check(replica, [this, replica, triesLeft](ReplicaLiveness liveness) {
         if (liveness == ReplicaLiveness::Unknown && triesLeft > 1) {
             net::runAfter(loop_, settings_.checkRetryDelay,
--- a/src/serving/requestrunner.h
+++ b/src/serving/requestrunner.h
@@ -85,8 +85,9 @@
     void sendAttempt(const ActiveRequestPtr &active, Replica &replica);
     /// How long the request may wait for a permit from now on.
     absl::Duration permitWaitNow(const ActiveRequest &active) const;
-    /// Obtains a permit for a replica with a request limit; then sends the request there, or tries the next replica.
-    void awaitPermit(const ActiveRequestPtr &active, const Replica &replica);
+    /// Obtains a permit for a replica with a request limit at `now`; then sends the request there, or tries the next
+    /// replica.
+    void awaitPermit(const ActiveRequestPtr &active, const Replica &replica, Instant now);
     void onPermitReply(const ActiveRequestPtr &active, const ReplicaIncarnation &incarnation, const PermitReply &reply);
     void onPermitUsable(const ActiveRequestPtr &active, const ReplicaIncarnation &incarnation);
     void refuseWithoutReplica(const ActiveRequestPtr &active);
