--- a/tests/adapter/codectest.cpp
+++ b/tests/adapter/codectest.cpp
@@ -49,6 +49,29 @@
     CHECK(settings->viewAgeLimit() == absl::Seconds(2));
 }
 
+// Guards against evacuations and cold replicas that are assumed where a deployment doesn't name them.
+TEST_CASE("evacuations and cold replicas are read where they are stated, and absent elsewhere")
+{
+    CHECK_FALSE(parseSettings(Settings)->evacuateTime);
+    std::string stated = Settings;
+    stated.insert(stated.find("\"grace_s\""), R"("evacuate_ms":5000,"cold_over":2,"cold_slack":3,)");
+    const auto settings = parseSettings(stated);
+    REQUIRE(settings.ok());
+    CHECK(settings->evacuateTime == absl::Seconds(5));
+    CHECK(settings->coldOver == 2);
+    CHECK(settings->coldSlack == 3);
+    const auto config = parseConfig(
+        object("main", R"({"routes":[],"services":[{"name":"a","cold_s":2.5,"cold_per_s":7.7},{"name":"b"}]})"));
+    REQUIRE(config);
+    CHECK(config->services.at("a").coldTime == absl::Milliseconds(2500));
+    CHECK(config->services.at("a").coldRequestsPerSecond == 7.7);
+    CHECK(config->services.at("b").coldTime == absl::ZeroDuration());
+    const std::string entry = R"({"service":"a","address":"10.0.0.1:80","state":"ready")";
+    CHECK_FALSE(parseReplica(object("i-1", entry + "}"))->coldLeft);
+    CHECK(parseReplica(object("i-1", entry + R"(,"cold_left_ms":0})"))->coldLeft == absl::ZeroDuration());
+    CHECK(parseReplica(object("i-1", entry + R"(,"cold_left_ms":1500})"))->coldLeft == absl::Milliseconds(1500));
+}
+
 // Guards against a process that starts half configured: every problem is named at once.
 TEST_CASE("bad settings are refused with all that is wrong")
 {
--- a/tests/control/plantest.cpp
+++ b/tests/control/plantest.cpp
@@ -298,6 +298,21 @@
     CHECK(parseScaleCounts(toJson(plan.desiredCounts())) == plan.desiredCounts());
 }
 
+// Guards against paid replacements for replicas that return when the evacuation of their zone ends.
+TEST_CASE("nothing is ordered for or in an evacuated zone")
+{
+    ScalePlan plan;
+    plan.setDesiredCounts({{{"engine", "z1"}, 4}, {{"engine", "z2"}, 3}});
+    const std::map<std::string, int> maxReplicas{{"engine", 8}};
+    const ScalePlan::Counts counts{{{"engine", "z2"}, 1}};
+    plan.onReply({"engine", "z2", 3}, DutyReply::Unavailable, at(0));
+    for (const double time : {0.0, 2.0, 4.0}) {
+        CHECK(plan.dueOrders(counts, maxReplicas, at(time), {"z1"}).empty());
+    }
+    CHECK(plan.dueOrders(counts, maxReplicas, at(5)).empty());
+    CHECK_FALSE(plan.dueOrders(counts, maxReplicas, at(7)).empty());
+}
+
 TEST_CASE("requests are counted in the window in which they began")
 {
     RequestCounts counts(absl::Seconds(5));
--- a/tests/node/nodefleet.h
+++ b/tests/node/nodefleet.h
@@ -26,9 +26,10 @@
     using Send =
         std::function<void(const serving::Replica &, const serving::OutboundRequest &, serving::ReplicaHandlers)>;
 
-    /// `send`: the replicas, which receive requests at any node.
-    NodeFleet(std::size_t nodes, std::size_t replicas, Send send)
+    /// `send`: the replicas, which receive requests at any node. `evacuateTime`: see NodeSettings.
+    NodeFleet(std::size_t nodes, std::size_t replicas, Send send, std::optional<absl::Duration> evacuateTime = {})
         : store(loop)
+        , evacuateTime_(evacuateTime)
         , send_(std::move(send))
     {
         store.put("settings", "current", Json::object());
@@ -112,6 +113,7 @@
             settings.region = "atlas";
             settings.regionOfZone = {{"ifrane", "atlas"}};
             settings.controlAddress = address;
+            settings.evacuateTime = fleet.evacuateTime_;
             node = std::make_unique<node::Node>(fleet.loop, client, settings, fleet.binding());
         }
 
@@ -156,6 +158,7 @@
         };
         binding.replicas.cancel = [](net::CallId) {};
         binding.replicaKind = "replicas";
+        binding.evacuationKind = "evacuations";
         binding.parseReplica = [](const objects::StoredObject &object) {
             serving::ReplicaEntry entry;
             entry.id = object.name;
@@ -167,6 +170,7 @@
         return binding;
     }
 
+    std::optional<absl::Duration> evacuateTime_;
     Send send_;
     bool ready_ = false;
     std::vector<std::unique_ptr<Member>> members_;
