tests: the evacuation test covers nodes that follow, not only watchers

Right after the start all nodes still watch the store, so the test showed nothing about followers. It now waits until at most three nodes watch.

--- a/tests/node/evacuationnodetest.cpp
+++ b/tests/node/evacuationnodetest.cpp
@@ -53,6 +53,8 @@
 TEST_CASE("no node sends to the replicas of an evacuated zone, and all do so again after its end")
 {
     EvacuatedFleet evacuated(Bound);
+    // Two of the zone watch, and the one that leads.
+    REQUIRE(runUntil(evacuated.fleet.loop, [&] { return evacuated.fleet.watchers() <= 3; }));
     CHECK(evacuated.tryAll() == 7);
     const Instant confirmed = net::loopNow();
     evacuated.fleet.store.put("evacuations", "ifrane", Json::object());
--- a/tests/node/nodefleet.h
+++ b/tests/node/nodefleet.h
@@ -80,6 +80,14 @@
         members_[node]->node->handleRequest(std::move(request), sink);
     }
 
+    /// Number of nodes that watch the registry of replicas themselves.
+    std::size_t watchers()
+    {
+        return static_cast<std::size_t>(std::count_if(members_.begin(), members_.end(), [](const auto &member) {
+            return member->node->metrics().find("\ncurrantlug_watching_replicas 1\n") != std::string::npos;
+        }));
+    }
+
     /// Number of requests that the node answered by 503 with this outcome.
     int requestsEnded(std::size_t node, const std::string &outcome)
     {
