net, platform: heads, small bodies and unsent answers draw from the memory budget, and listeners bound their connections

Cause: only bodies over 64 KiB were counted. A head of short lines takes some 0.5 MB as parsed fields, refused heads were kept until their connection closed, each connection had a buffer of its own, and nothing bounded connections by max_fds. Change: MemoryBudget counts by kind and has a reserve for small data, for which the largest unfinished request is given up (503), never one that was handed on. Connections of a listener are bounded by max_fds. A connection that has used much processor time waits in DeferredTurns, which leaves half of the loop to others; heads of more than 200 fields are refused (503) while eight connections wait there. More than 1 KiB of empty lines ends a connection; a connection whose answers wait isn't read; readers share one buffer a listener.

--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -80,12 +80,63 @@
 
 HttpServer::~HttpServer()
 {
+    if (memoryBudget_ != nullptr) {
+        memoryBudget_->removeHolder(this);
+    }
     for (const auto &connection : connections_) {
         connection->detach();
         connection->close();
     }
 }
 
+void HttpServer::setMemoryBudget(MemoryBudget &budget)
+{
+    memoryBudget_ = &budget;
+    budget.addHolder(this,
+                     {[this] {
+                          const auto connection = largestUnfinished();
+                          return connection == nullptr ? 0 : connection->unfinishedBytes();
+                      },
+                      [this] {
+                          if (const auto connection = largestUnfinished()) {
+                              connection->giveUp();
+                          }
+                      }});
+}
+
+std::shared_ptr<detail::ServerConnection> HttpServer::largestUnfinished() const
+{
+    std::shared_ptr<detail::ServerConnection> largest;
+    std::uint64_t bytes = 0;
+    for (const auto &connection : connections_) {
+        if (connection->unfinishedBytes() > bytes) {
+            bytes = connection->unfinishedBytes();
+            largest = connection;
+        }
+    }
+    return largest;
+}
+
+bool HttpServer::makeRoom()
+{
+    std::shared_ptr<detail::ServerConnection> chosen;
+    for (const auto &connection : connections_) {
+        if (connection->closePreference() > 0
+            && (chosen == nullptr || connection->closePreference() > chosen->closePreference()
+                || (connection->closePreference() == chosen->closePreference()
+                    && connection->stateSince() < chosen->stateSince()))) {
+            chosen = connection;
+        }
+    }
+    if (chosen == nullptr) {
+        return false;
+    }
+    chosen->close();
+    chosen->detach(); // It may outlive this server once it isn't listed any more.
+    connections_.erase(chosen);
+    return true;
+}
+
 absl::Status HttpServer::listen(const Endpoint &endpoint)
 {
     boost::system::error_code error;
@@ -124,6 +175,12 @@
         }
         // First, so that an exception below, for lack of memory, doesn't end the service.
         accept();
+        if (crowd_.connections > 0 && connections_.size() >= crowd_.connections) {
+            count(ClientRefusal::Connections);
+            if (!makeRoom()) {
+                return; // All connections carry requests; this one is closed unread.
+            }
+        }
         const auto connection = std::make_shared<detail::ServerConnection>(*this, std::move(socket));
         connections_.insert(connection);
         connection->start();
@@ -135,6 +192,9 @@
     if (memoryBudget_ == nullptr) {
         return limits_.unsentBytes;
     }
+    if (memoryBudget_->usedOf(MemoryKind::Unsent) > memoryBudget_->reserve()) {
+        return 0; // Nothing more is read or produced for a client before it has read what it was sent.
+    }
     const auto together = static_cast<std::uint64_t>(static_cast<double>(memoryBudget_->limit()) * UnsentFraction);
     return std::min(limits_.unsentBytes,
                     std::max(MinUnsentBytes, together / std::max<std::size_t>(1, connections_.size())));
--- a/src/net/httpserver.h
+++ b/src/net/httpserver.h
@@ -2,6 +2,8 @@
 #ifndef CURRANTLUG_NET_HTTPSERVER_H
 #define CURRANTLUG_NET_HTTPSERVER_H
 
+#include "net/clientrefusal.h"
+#include "net/deferredturns.h"
 #include "net/eventloop.h"
 #include "net/httpmessage.h"
 #include "net/memorybudget.h"
@@ -9,6 +11,7 @@
 #include <absl/status/status.h>
 #include <absl/time/time.h>
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -34,6 +37,23 @@
     absl::Duration memoryRetryAfter = absl::Seconds(1);
 };
 
+/// What the connections of one listener may take of the process. The defaults don't refuse any request inside
+/// ServerLimits while the event loop keeps up.
+struct CrowdLimits
+{
+    /// Open connections; 0 for no bound. Beyond it an unfinished or idle connection is closed for a new one.
+    std::size_t connections = 0;
+    /// Bytes of empty lines before a request.
+    std::size_t emptyLineBytes = 1024;
+    /// Processor time that a connection may use at once, and the part of the time since then in which it is earned
+    /// back. A connection that has used more waits for DeferredTurns.
+    absl::Duration turnBurst = absl::Milliseconds(20);
+    double turnShare = 0.2;
+    /// Header fields of a request that is still taken while `busyTurns` connections wait for DeferredTurns.
+    std::size_t fieldsWhenBusy = 200;
+    std::size_t busyTurns = 8;
+};
+
 /// One request and the way to answer it. Held by shared_ptr; an answer after the client has gone is dropped.
 class ServerCall
 {
@@ -70,6 +90,7 @@
     std::weak_ptr<detail::ServerConnection> connection_;
     HttpRequest request_;
     MemoryShare bodyMemory_; ///< Held until the call is destroyed.
+    MemoryShare headMemory_; ///< Held until the call is destroyed.
     std::function<void()> gone_;
     bool answered_ = false;
 };
@@ -87,9 +108,14 @@
     /// kUnavailable if the address is in use or not there yet, so that a later call may succeed; kFailedPrecondition if
     /// it can't be bound for another reason.
     absl::Status listen(const Endpoint &endpoint);
-    /// Bodies take their memory from the budget, which must outlive this server and its calls. A request whose body
-    /// doesn't fit is answered with 503 before the body is read.
-    void setMemoryBudget(MemoryBudget &budget) { memoryBudget_ = &budget; }
+    /// Heads, bodies, pipelined bytes and unsent answers take their memory from the budget, which must outlive this
+    /// server and its calls. A request that doesn't fit is answered with 503 before it is read whole.
+    void setMemoryBudget(MemoryBudget &budget);
+    /// Connections that have used much processor time wait there. Without it they go on like others.
+    void setDeferredTurns(DeferredTurns &turns) { turns_ = &turns; }
+    void setCrowdLimits(const CrowdLimits &limits) { crowd_ = limits; }
+    const RefusalCounts &refusals() const { return refusals_; }
+    std::size_t connections() const { return connections_.size(); }
     void setLimits(const ServerLimits &limits) { limits_ = limits; }
     const ServerLimits &limits() const { return limits_; }
     /// From here on each answer asks its client to use another connection.
@@ -112,6 +138,13 @@
 
     void accept();
     void sweep();
+    /// Closes a connection on which no request was handed on, so that there is room for a new one. Returns false if
+    /// there is none.
+    bool makeRoom();
+    /// The connection whose unfinished request holds most memory; null if none holds any.
+    std::shared_ptr<detail::ServerConnection> largestUnfinished() const;
+    void count(ClientRefusal reason) { ++refusals_[static_cast<std::size_t>(reason)]; }
+    bool isBusy() const { return turns_ != nullptr && turns_->waiting() >= crowd_.busyTurns; }
     /// Unsent bytes from which an answer is congested.
     std::uint64_t congestionBytes() const;
 
@@ -120,6 +153,10 @@
     boost::asio::ip::tcp::acceptor acceptor_;
     ServerLimits limits_;
     MemoryBudget *memoryBudget_ = nullptr; ///< Null: no limit.
+    DeferredTurns *turns_ = nullptr; ///< Null: no connection is deferred.
+    CrowdLimits crowd_;
+    RefusalCounts refusals_{}; ///< Since the start.
+    std::array<char, 16384> input_; ///< For the read under way on any connection.
     bool closing_ = false;
     std::size_t openCalls_ = 0;
     std::uint64_t unsentBytes_ = 0; ///< Sum over the connections.
--- a/src/net/serverconnection.cpp
+++ b/src/net/serverconnection.cpp
@@ -6,6 +6,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace currantlug::net::detail {
@@ -16,9 +17,17 @@
 constexpr std::size_t PipelineBytes = 65536;
 // Memory for a body of length 1: its bytes and the values that are decoded from them.
 constexpr std::uint64_t BodyMemoryFactor = 2;
-// Such a body is taken whatever the budget says: usual requests and the contact between nodes go on beside large
+// Such a body may use the reserve of the budget: usual requests and the contact between nodes go on beside large
 // bodies.
 constexpr std::uint64_t SmallBodyBytes = 64 << 10;
+// Memory of a field beyond its text: the parser's node, and two strings in the request.
+constexpr std::uint64_t FieldBytes = 200;
+// The text of a head stands in the parser and in the request.
+constexpr std::uint64_t HeadCopies = 2;
+// Unfinished requests that are given up for one that needs memory.
+constexpr int MaxDisplaced = 8;
+// Above this the buffer of a connection is given back once it is empty.
+constexpr std::size_t KeptBufferBytes = 4096;
 constexpr absl::Duration LingerTime = absl::Seconds(2);
 
 int rejectionStatus(const boost::system::error_code &error)
@@ -34,8 +43,16 @@
 ServerConnection::ServerConnection(HttpServer &server, boost::asio::ip::tcp::socket socket)
     : server_(&server)
     , socket_(std::move(socket))
-    , stateSince_(loopNow())
+    , credit_(server.crowd_.turnBurst)
+    , creditSince_(loopNow())
+    , stateSince_(creditSince_)
 {
+    if (MemoryBudget *budget = server.memoryBudget_) {
+        pipelinedMemory_ = MemoryShare(*budget, MemoryKind::Pipelined);
+        unsentMemory_ = MemoryShare(*budget, MemoryKind::Unsent);
+    }
+    boost::system::error_code ignored;
+    socket_.non_blocking(true, ignored);
     resetParser();
 }
 
@@ -51,21 +68,34 @@
     parser_->eager(true);
     parser_->header_limit(server_->limits().headerBytes);
     parser_->body_limit(server_->limits().bodyBytes);
-    bodyMemory_ = server_->memoryBudget_ == nullptr ? MemoryShare() : MemoryShare(*server_->memoryBudget_);
+    MemoryBudget *budget = server_->memoryBudget_;
+    bodyMemory_ = budget == nullptr ? MemoryShare() : MemoryShare(*budget);
+    smallBodyMemory_ = budget == nullptr ? MemoryShare() : MemoryShare(*budget, MemoryKind::SmallBody);
+    headMemory_ = budget == nullptr ? MemoryShare() : MemoryShare(*budget, MemoryKind::Head);
+    headText_ = 0;
+    headFields_ = 0;
+    headCounted_ = false;
+    emptyLineBytes_ = 0;
     requestBegun_ = false;
     continueSent_ = false;
 }
 
 void ServerConnection::read()
 {
-    if (reading_ || closed_ || buffer_.size() > PipelineBytes) {
+    if (reading_ || closed_ || server_ == nullptr || parseScheduled_ || buffer_.size() > PipelineBytes
+        || (isCongested() && !lingering_)) {
         return;
     }
     reading_ = true;
-    socket_.async_read_some(boost::asio::buffer(input_),
-                            [self = shared_from_this()](const boost::system::error_code &error, std::size_t bytes) {
-                                self->onRead(error, bytes);
-                            });
+    // The bytes are read into a buffer that all connections share, so that one that waits holds none.
+    socket_.async_wait(boost::asio::ip::tcp::socket::wait_read,
+                       [self = shared_from_this()](boost::system::error_code error) {
+                           std::size_t bytes = 0;
+                           if (!error && !self->closed_ && self->server_ != nullptr) {
+                               bytes = self->socket_.read_some(boost::asio::buffer(self->server_->input_), error);
+                           }
+                           self->onRead(error, bytes);
+                       });
 }
 
 void ServerConnection::onRead(const boost::system::error_code &error, std::size_t bytes)
@@ -74,56 +104,180 @@
     if (closed_ || server_ == nullptr) {
         return;
     }
+    if (error == boost::asio::error::would_block || error == boost::asio::error::try_again) {
+        read();
+        return;
+    }
     if (error) {
         close();
         return;
     }
     if (!closeAfterWrite_) { // Else the last answer is on its way.
-        buffer_.commit(boost::asio::buffer_copy(buffer_.prepare(bytes), boost::asio::buffer(input_, bytes)));
-        if (call_ == nullptr) {
-            parse();
+        buffer_.commit(boost::asio::buffer_copy(buffer_.prepare(bytes), boost::asio::buffer(server_->input_, bytes)));
+        if (!growOrDisplace(pipelinedMemory_, buffer_.capacity())) {
+            if (call_ == nullptr) {
+                refuseForMemory(ClientRefusal::HeadMemory, "no memory for the request");
+                return;
+            }
+            pipelinedMemory_.setTo(buffer_.capacity());
+            return; // Reads on after the answer.
+        }
+        if (call_ == nullptr && !parseScheduled_) {
+            if (credit_ < absl::ZeroDuration()) {
+                scheduleParse();
+            } else {
+                parse();
+            }
         }
     }
     read();
 }
 
+void ServerConnection::scheduleParse()
+{
+    if (parseScheduled_ || closed_ || server_ == nullptr) {
+        return;
+    }
+    parseScheduled_ = true;
+    const auto turn = [self = shared_from_this()] {
+        self->parseScheduled_ = false;
+        if (!self->closed_ && self->server_ != nullptr && self->call_ == nullptr && !self->closeAfterWrite_) {
+            self->parse();
+        }
+        self->read();
+    };
+    chargeTurn(absl::ZeroDuration());
+    if (credit_ < absl::ZeroDuration() && server_->turns_ != nullptr) {
+        server_->turns_->add(turn);
+    } else {
+        boost::asio::post(socket_.get_executor(), turn);
+    }
+}
+
+void ServerConnection::chargeTurn(absl::Duration used)
+{
+    if (server_ == nullptr) {
+        return;
+    }
+    const Instant now = loopNow();
+    const CrowdLimits &limits = server_->crowd_;
+    credit_ = std::min(limits.turnBurst, credit_ + (now - creditSince_) * limits.turnShare) - used;
+    creditSince_ = now;
+}
+
+bool ServerConnection::skipEmptyLines()
+{
+    if (requestBegun_) {
+        return true;
+    }
+    const std::string_view bytes(static_cast<const char *>(buffer_.data().data()), buffer_.size());
+    const std::size_t empty = std::min(bytes.find_first_not_of("\r\n"), bytes.size());
+    buffer_.consume(empty);
+    emptyLineBytes_ += empty;
+    if (emptyLineBytes_ <= server_->crowd_.emptyLineBytes) {
+        return true;
+    }
+    server_->count(ClientRefusal::EmptyLines);
+    reject(400, {}, "too many empty lines");
+    return false;
+}
+
+bool ServerConnection::reserveHead(std::uint64_t textBytes, std::uint64_t fields)
+{
+    headText_ += textBytes;
+    headFields_ = fields;
+    return growOrDisplace(headMemory_, HeadCopies * (headText_ + headFields_ * FieldBytes));
+}
+
+bool ServerConnection::growOrDisplace(MemoryShare &share, std::uint64_t bytes)
+{
+    if (share.growTo(bytes)) {
+        return true;
+    }
+    for (int i = 0; i < MaxDisplaced && server_->memoryBudget_->giveUpLargerThan(unfinishedBytes()); ++i) {
+        if (share.growTo(bytes)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+void ServerConnection::refuseForMemory(ClientRefusal reason, std::string_view text)
+{
+    server_->count(reason);
+    Headers headers;
+    headers.add("Retry-After", fmt::format("{}", absl::ToInt64Seconds(server_->limits().memoryRetryAfter)));
+    reject(503, headers, text);
+}
+
 void ServerConnection::parse()
 {
     if (isCongested()) {
         return; // Goes on when the answers before have left.
     }
+    const Instant begin = loopNow();
+    if (!skipEmptyLines()) {
+        return;
+    }
     while (buffer_.size() > 0 && !parser_->is_done()) {
         if (!requestBegun_) {
             requestBegun_ = true;
             stateSince_ = loopNow();
         }
         boost::system::error_code error;
+        const char *text = static_cast<const char *>(buffer_.data().data());
         const std::size_t used = parser_->put(buffer_.data(), error);
+        if (!headCounted_) {
+            headCounted_ = parser_->is_header_done();
+            const auto &fields = parser_->get();
+            const auto lines =
+                headCounted_ ? std::distance(fields.begin(), fields.end()) : std::count(text, text + used, '\n');
+            const std::uint64_t count = static_cast<std::uint64_t>(lines) + (headCounted_ ? 0 : headFields_);
+            const std::uint64_t most = server_->limits().headerBytes;
+            const std::uint64_t headBytes = std::min<std::uint64_t>(used, most - std::min(headText_, most));
+            if (!reserveHead(headBytes, count)) {
+                refuseForMemory(ClientRefusal::HeadMemory, "no memory for the head");
+                return;
+            }
+            if (headCounted_ && headFields_ > server_->crowd_.fieldsWhenBusy && server_->isBusy()) {
+                refuseForMemory(ClientRefusal::Fields, "too many fields at present");
+                return;
+            }
+        }
         buffer_.consume(used);
         if (error == boost::beast::http::error::need_more) {
             break;
         }
         if (error) {
+            server_->count(ClientRefusal::Unreadable);
             reject(rejectionStatus(error), {}, error.message());
             return;
         }
         if (parser_->is_header_done() && !reserveBody()) {
-            Headers headers;
-            headers.add("Retry-After", fmt::format("{}", absl::ToInt64Seconds(server_->limits().memoryRetryAfter)));
-            reject(503, headers, "no memory for the body");
+            refuseForMemory(ClientRefusal::BodyMemory, "no memory for the body");
             return;
         }
         if (used == 0) {
             break;
         }
     }
+    if (buffer_.size() == 0 && buffer_.capacity() > KeptBufferBytes) {
+        buffer_ = {};
+        pipelinedMemory_.release();
+    }
     if (parser_->is_done()) {
-        dispatch();
+        try {
+            dispatch();
+        } catch (...) {
+            chargeTurn(loopNow() - begin);
+            throw;
+        }
     } else if (parser_->is_header_done() && !continueSent_
                && parser_->get()[boost::beast::http::field::expect] == "100-continue") {
         continueSent_ = true;
         queue("HTTP/1.1 100 Continue\r\n\r\n");
     }
+    chargeTurn(loopNow() - begin);
 }
 
 void ServerConnection::dispatch()
@@ -140,7 +294,8 @@
     closeAfterAnswer_ = !message.keep_alive();
     headRequest_ = request.method == "HEAD";
     call_ = std::make_shared<ServerCall>(weak_from_this(), std::move(request));
-    call_->bodyMemory_ = std::move(bodyMemory_);
+    call_->bodyMemory_ = bodyMemory_.bytes() > 0 ? std::move(bodyMemory_) : std::move(smallBodyMemory_);
+    call_->headMemory_ = std::move(headMemory_);
     ++server_->openCalls_;
     try {
         server_->handler_(call_);
@@ -160,9 +315,9 @@
     const std::uint64_t bytes =
         std::max<std::uint64_t>(parser_->content_length().value_or(0), parser_->get().body().size());
     if (bytes <= SmallBodyBytes) {
-        bodyMemory_.setTo(bytes * BodyMemoryFactor);
-        return true;
+        return growOrDisplace(smallBodyMemory_, bytes * BodyMemoryFactor);
     }
+    smallBodyMemory_.release();
     return bodyMemory_.growTo(bytes * BodyMemoryFactor);
 }
 
@@ -170,8 +325,9 @@
 {
     closeAfterAnswer_ = true;
     headRequest_ = false;
-    std::string().swap(parser_->get().body());
-    bodyMemory_.release();
+    resetParser(); // Gives back what was read, and what it took of the memory budget.
+    buffer_ = {};
+    pipelinedMemory_.release();
     call_ = std::make_shared<ServerCall>(weak_from_this(), HttpRequest{});
     ++server_->openCalls_;
     call_->respond(status, headers, reason);
@@ -183,7 +339,8 @@
     stateSince_ = loopNow();
     boost::system::error_code ignored;
     socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
-    buffer_.clear();
+    buffer_ = {};
+    pipelinedMemory_.release();
     read();
 }
 
@@ -236,15 +393,16 @@
         closeAfterWrite_ = true;
         return;
     }
+    answered_ = true;
     stateSince_ = loopNow();
     resetParser();
-    // A pipelined request is parsed from the loop, so that a handler that answers at once doesn't recurse.
-    boost::asio::post(socket_.get_executor(), [self = shared_from_this()] {
-        if (!self->closed_ && self->server_ != nullptr && self->call_ == nullptr) {
-            self->parse();
-            self->read();
-        }
-    });
+    // A pipelined request is parsed from the loop, so that a handler that answers at once doesn't recurse, and other
+    // connections come first.
+    if (buffer_.size() > 0) {
+        scheduleParse();
+    } else {
+        read();
+    }
 }
 
 void ServerConnection::queue(std::string bytes)
@@ -293,8 +451,10 @@
     if (const auto handler = std::exchange(sentHandler_, nullptr)) {
         handler();
     }
-    if (!closed_ && !closeAfterWrite_ && server_ != nullptr && call_ == nullptr) {
-        parse();
+    if (!closed_ && !closeAfterWrite_ && server_ != nullptr) {
+        if (call_ == nullptr && buffer_.size() > 0) {
+            scheduleParse();
+        }
         read();
     }
 }
@@ -302,6 +462,7 @@
 void ServerConnection::countUnsent(std::uint64_t added, std::uint64_t removed)
 {
     unsent_ = unsent_ + added - removed;
+    unsentMemory_.setTo(unsent_);
     if (server_ != nullptr) {
         server_->unsentBytes_ = server_->unsentBytes_ + added - removed;
     }
@@ -312,6 +473,30 @@
     return server_ != nullptr && unsent_ > server_->congestionBytes();
 }
 
+std::uint64_t ServerConnection::unfinishedBytes() const
+{
+    if (closed_ || call_ != nullptr || closeAfterWrite_ || lingering_ || unsent_ > 0) {
+        return 0;
+    }
+    return bodyMemory_.bytes() + smallBodyMemory_.bytes() + headMemory_.bytes() + pipelinedMemory_.bytes();
+}
+
+void ServerConnection::giveUp()
+{
+    refuseForMemory(ClientRefusal::GivenUp, "no memory for the request");
+}
+
+int ServerConnection::closePreference() const
+{
+    if (closed_ || call_ != nullptr || writing_) {
+        return 0;
+    }
+    if (lingering_ || closeAfterWrite_) {
+        return 4;
+    }
+    return requestBegun_ ? 3 : answered_ ? 1 : 2;
+}
+
 void ServerConnection::onSent(std::function<void()> handler)
 {
     sentHandler_ = std::move(handler);
@@ -324,6 +509,10 @@
     }
     closed_ = true;
     countUnsent(0, unsent_);
+    bodyMemory_.release();
+    smallBodyMemory_.release();
+    headMemory_.release();
+    pipelinedMemory_.release();
     sentHandler_ = nullptr;
     boost::system::error_code ignored;
     socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_both, ignored);
@@ -366,7 +555,10 @@
     }
     // A request that has arrived and wasn't read yet is answered first.
     boost::system::error_code ignored;
-    if (requestBegun_ || socket_.available(ignored) == 0) {
+    if (requestBegun_ || emptyLineBytes_ > 0 || socket_.available(ignored) == 0) {
+        if (requestBegun_ || emptyLineBytes_ > 0) {
+            server_->count(ClientRefusal::Time);
+        }
         close();
     }
 }
--- a/src/net/serverconnection.h
+++ b/src/net/serverconnection.h
@@ -8,7 +8,6 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
-#include <array>
 #include <deque>
 #include <optional>
 
@@ -31,6 +30,14 @@
     void sendPart(std::string_view bytes);
     void sendEnd();
     bool isCongested() const;
+    /// Memory of a request that isn't whole yet; 0 if there is none, or if it was handed on or refused.
+    std::uint64_t unfinishedBytes() const;
+    /// Refuses the unfinished request, so that others have memory.
+    void giveUp();
+    /// How readily the connection is closed for a new one: 0 never, since a request was handed on or its answer is on
+    /// its way; 1 idle after an answer, 2 nothing sent yet, 3 a request isn't whole, 4 refused already.
+    int closePreference() const;
+    Instant stateSince() const { return stateSince_; }
     void onSent(std::function<void()> handler);
 
 private:
@@ -42,8 +49,19 @@
     /// Parses what is buffered; hands a complete request to the server's handler.
     void parse();
     void dispatch();
+    /// Parses from the loop, after the connections that wait; after all others if this one has used much processor
+    /// time.
+    void scheduleParse();
+    void chargeTurn(absl::Duration used);
+    /// Drops empty lines before a request. Returns false if there were too many, and the request was refused.
+    bool skipEmptyLines();
+    /// Accounts for a head of which this much was read. Returns false if the memory budget doesn't allow it.
+    bool reserveHead(std::uint64_t textBytes, std::uint64_t fields);
     /// Enlarges the share of the memory budget to what the body needs. Returns false if the budget doesn't allow it.
     bool reserveBody();
+    /// Enlarges a share; unfinished requests that hold more than this connection are given up for it.
+    bool growOrDisplace(MemoryShare &share, std::uint64_t bytes);
+    void refuseForMemory(ClientRefusal reason, std::string_view text);
     /// Answers before the request was read whole. The connection is closed after that.
     void reject(int status, const Headers &headers, std::string_view reason);
     /// Reads and drops what the client still sends: bytes that nobody reads would reset the connection, and the answer
@@ -59,10 +77,21 @@
 
     HttpServer *server_; ///< Null once the server is gone.
     boost::asio::ip::tcp::socket socket_;
-    std::array<char, 16384> input_; ///< For the read under way: buffer_ may be consumed meanwhile.
     boost::beast::flat_buffer buffer_;
     std::optional<Parser> parser_;
-    MemoryShare bodyMemory_; ///< For the body being read.
+    MemoryShare bodyMemory_; ///< For the body being read, if it is large.
+    MemoryShare smallBodyMemory_; ///< For the body being read, if it is small.
+    MemoryShare headMemory_; ///< For the head being read and its copy in the request.
+    MemoryShare pipelinedMemory_; ///< For buffer_.
+    MemoryShare unsentMemory_; ///< For output_.
+    std::uint64_t headText_ = 0; ///< Bytes of the head being read.
+    std::uint64_t headFields_ = 0; ///< Fields of the head being read.
+    absl::Duration credit_; ///< Processor time that may be used at once; negative: turns are deferred.
+    Instant creditSince_;
+    bool headCounted_ = false;
+    bool parseScheduled_ = false;
+    bool answered_ = false; ///< At least one answer was complete.
+    std::size_t emptyLineBytes_ = 0; ///< Before the next request.
     std::shared_ptr<ServerCall> call_; ///< The request being handled; null between requests.
     std::deque<std::string> output_; ///< The front element is being written.
     std::uint64_t unsent_ = 0; ///< Bytes of output_.
--- a/src/node/nodesettings.h
+++ b/src/node/nodesettings.h
@@ -6,6 +6,7 @@
 #include <absl/time/time.h>
 
 #include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -27,6 +28,7 @@
     std::string address; ///< IP address of the machine; may be empty.
     double processorShare = 1; ///< Processor time that the node may use, in cores.
     std::uint64_t memoryBytes = 256 << 20; ///< Memory that the process may use before it is killed.
+    std::size_t maxDescriptors = 0; ///< Descriptors that the process may open; 0 if unknown, for no bound.
     std::vector<std::string> seeds; ///< Control addresses of some peers for the first contact. They may be down.
     std::string storeAddress; ///< Address of the object store.
     std::string dutyAddress; ///< Address that receives replica scaling orders and usage reports.
