jobs, scheduling: items move where the estimate says that they finish sooner

Cause: moves were decided by an event gap per replica smoothed with weight 0.15.

Change: the slow spell is read from the stream of the item itself. A move must be expected to end the item sooner, with its text read again and the event in progress lost. Only the longer items of a job move, at most three times within two seconds, straight to a free replica that isn't slow or paused. Each move is logged with its estimate and judged ten events later (move_won, move_lost). Reading rate, tokens of an event and connection time are learned.

Measured: not yet.

--- a/src/jobs/itemtracker.h
+++ b/src/jobs/itemtracker.h
@@ -45,6 +45,14 @@
 
 namespace currantlug::jobs {
 
+/// A move whose effect is being measured.
+struct RecentMove
+{
+    Instant at;
+    absl::Duration gapBefore; ///< Time of an event at the former replica.
+    std::size_t eventsBefore = 0; ///< Length of the text at the time of the move, in events.
+};
+
 struct Item
 {
     ItemSpec spec;
@@ -55,11 +63,15 @@
     Instant lastEventAt; ///< Running: time of the last event, or of the start of the attempt.
     Instant startedAt; ///< Running: start of the attempt.
     std::size_t attemptBytes = 0; ///< Running: length of the events of the attempt.
+    std::size_t attemptEvents = 0; ///< Running: number of events of the attempt.
+    std::size_t slowEvents = 0; ///< Running: number of slow gaps in a row up to the last event.
+    Instant slowSince; ///< Running: begin of those gaps; meaningful if slowEvents is not 0.
     bool headSeen = false; ///< Running: the replica has sent its response head.
     Instant waitingSince; ///< Waiting: time at which a free replica was first looked for.
     Instant notBefore; ///< Waiting or Scoring: the item or its reward call is not sent before this time.
     int failures = 0; ///< Responses that count as failed attempts.
-    int moves = 0; ///< Attempts that were cancelled to move the item off a slow replica.
+    std::vector<Instant> movedAt; ///< Recent moves off a slow replica, oldest first.
+    std::optional<RecentMove> lastMove; ///< Until it is known whether the move gained time.
     std::set<std::string> excludedReplicas; ///< Replicas on which the item failed; cleared if no other is free.
     Instant finishedAt;
     Instant textCompletedAt; ///< Scoring: time at which the text was complete here.
--- a/src/jobs/jobcontext.h
+++ b/src/jobs/jobcontext.h
@@ -7,6 +7,7 @@
 #include "net/eventloop.h"
 #include "net/memorybudget.h"
 #include "objects/objectport.h"
+#include "scheduling/learnedrates.h"
 #include "serving/gatewayconfig.h"
 #include "serving/replicaport.h"
 #include "serving/replicatable.h"
@@ -63,8 +64,10 @@
     /// A waiting item is meant for the service that the weights of its route name. If that service has no room for this
     /// time, the item may go to another service of the route.
     absl::Duration serviceWait = absl::Seconds(2);
-    absl::Duration minTimeBeforeMove = absl::Milliseconds(400); ///< Minimum age of an attempt on a slow replica.
-    int maxMovesPerItem = 3;
+    /// Minimum age of an attempt on a slow replica: by then it has made two or three events.
+    absl::Duration minTimeBeforeMove = absl::Milliseconds(150);
+    int maxMoves = 3; ///< Of one item within moveWindow.
+    absl::Duration moveWindow = absl::Seconds(2);
     /// An attempt whose events exceed this length is given up: a faulty replica may send events without end. Texts have
     /// some hundred kilobytes at most.
     std::size_t maxAttemptBytes = 8 << 20;
@@ -109,6 +112,7 @@
     /// The object store for calls that carry bodies: it is reached directly or through peers in these regions. If
     /// empty, `store` is used.
     std::function<objects::ObjectPort(const serving::RegionSet &)> storeWithin = {};
+    std::map<std::string, scheduling::LearnedRates> ratesByService = {};
 };
 
 } // namespace currantlug::jobs
--- a/src/jobs/jobrunner.cpp
+++ b/src/jobs/jobrunner.cpp
@@ -1,6 +1,7 @@
 // Sending of items to replicas, and collection of their events.
 #include "jobs/jobrunner.h"
 
+#include "scheduling/finishestimate.h"
 #include "telemetry/log.h"
 
 #include <absl/time/clock.h>
@@ -14,14 +15,19 @@
 
 namespace {
 
-constexpr double EventGapSmoothing = 0.15; // Weight of the newest gap.
 // Longer gaps are pauses, such as loading weights, and say nothing about the replica's speed.
 constexpr absl::Duration MaxMeasuredGap = absl::Milliseconds(500);
-// An item is moved off a replica whose event gap exceeds that of the fast replicas by this factor. Long items are moved
-// by the smaller factor, since a training step waits for them and a move costs about the time of one event.
-constexpr double SlowReplicaFactor = 1.8;
-constexpr double LongAttemptFactor = 1.2;
-constexpr std::size_t LongAttemptEvents = 30;
+// Gaps above that of the fast replicas by this factor belong to a slow spell. Gaps of sound replicas differ by an
+// eighth.
+constexpr double SpellGapFactor = 1.2;
+constexpr absl::Duration FastGapTtl = absl::Milliseconds(100); // Computed from all replicas; too costly for each event.
+// Only items with at least this share of the events that the longest item of the job still makes are moved: the others
+// end earlier anyway. Hints are off by a factor of up to three.
+constexpr double LongItemShare = 0.3;
+constexpr std::size_t JudgedEvents = 10; // Events after a move that decide whether it gained time.
+constexpr int MaxMoveCandidates = 3;
+// A busy replica without an event for this multiple of the usual gap pauses, for example to load weights.
+constexpr double PausedGapFactor = 3;
 constexpr absl::Duration VersionRetryDelay = absl::Milliseconds(50);
 
 } // namespace
@@ -219,6 +225,8 @@
     item.lastEventAt = now;
     item.headSeen = false;
     item.attemptBytes = 0;
+    item.attemptEvents = 0;
+    item.slowEvents = 0;
     groupReplica_[item.spec.group] = replica.entry.id;
     ++replica.inFlight;
     serving::ReplicaTable::usePermit(replica, now);
@@ -294,6 +302,10 @@
     item.headSeen = true;
     item.lastEventAt = net::loopNow();
     serving::Replica *replica = context_.replicas.find(item.replica);
+    if (replica != nullptr) {
+        serving::ReplicaTable::recordLoad(*replica, head.load, item.lastEventAt);
+        context_.ratesByService[replica->entry.service].recordHead(item.lastEventAt - item.startedAt);
+    }
     if (!head.weightVersion) {
         item.excludedReplicas.insert(item.replica);
         requeue(index, "response has no weight version", context_.settings.itemRetryDelay);
@@ -314,18 +326,158 @@
     attemptVersions_[attempt] = *head.weightVersion;
 }
 
+serving::ReplicaTable::ItemRequirements JobRunner::requirementsOf(const Item &item, const std::string &service)
+{
+    serving::ReplicaTable::ItemRequirements need;
+    need.service = service;
+    need.model = spec_.model;
+    need.minVersion = spec_.minVersion;
+    need.regions = regions();
+    need.exactVersion = singleVersion() && !item.text.empty() ? item.text.versions.front() : 0;
+    return need;
+}
+
+absl::Duration JobRunner::fastEventGap(const Item &item, const std::string &service, Instant now)
+{
+    const std::uint64_t version = singleVersion() && !item.text.empty() ? item.text.versions.front() : 0;
+    KnownGap &known = fastGaps_[{service, version}];
+    if (known.at == Instant() || now - known.at > FastGapTtl) {
+        known = {context_.replicas.fastEventGap(requirementsOf(item, service)), now};
+    }
+    return known.gap;
+}
+
+double JobRunner::eventsLeft(const Item &item, const std::string &service) const
+{
+    const auto rates = context_.ratesByService.find(service);
+    const double tokensPerEvent = rates == context_.ratesByService.end() ? 0 : rates->second.tokensPerEvent();
+    const double expected = tokensPerEvent > 0 ? item.spec.lengthHint / tokensPerEvent : 0;
+    return scheduling::eventsLeft(expected, static_cast<double>(item.text.events.size()));
+}
+
 void JobRunner::updateEventGap(Item &item, Instant now)
 {
     const absl::Duration gap = now - item.lastEventAt;
-    item.lastEventAt = now;
+    const Instant previous = std::exchange(item.lastEventAt, now);
     serving::Replica *replica = context_.replicas.find(item.replica);
-    if (replica == nullptr || item.text.empty() || gap > MaxMeasuredGap) {
+    if (replica == nullptr) {
+        return;
+    }
+    // The first event of an attempt comes after reading the prompt and the text.
+    if (++item.attemptEvents == 1) {
+        scheduling::LearnedRates &rates = context_.ratesByService[replica->entry.service];
+        rates.recordFirstEvent(static_cast<double>(item.text.events.size()) * rates.tokensPerEvent(),
+                               now - item.startedAt, replica->eventGap);
+        return;
+    }
+    if (gap > MaxMeasuredGap) {
+        item.slowEvents = 0;
+        return;
+    }
+    const absl::Duration fastGap = fastEventGap(item, replica->entry.service, now);
+    if (fastGap == absl::ZeroDuration() || gap <= fastGap * SpellGapFactor) {
+        item.slowEvents = 0;
+    } else if (item.slowEvents++ == 0) {
+        item.slowSince = previous;
+    }
+    serving::ReplicaTable::recordEventGap(*replica, gap, fastGap, now);
+}
+
+bool JobRunner::moveIfSooner(std::size_t index, Instant now)
+{
+    Item &item = tracker_.items()[index];
+    const serving::Replica *replica = context_.replicas.find(item.replica);
+    const absl::Duration silence = now - item.lastEventAt;
+    if (replica == nullptr || item.attemptEvents < 2 || silence > MaxMeasuredGap || sendingSuspended_
+        || now < heldUntil_ || now - item.startedAt < context_.settings.minTimeBeforeMove) {
+        return false;
+    }
+    const std::string service = replica->entry.service;
+    const absl::Duration fastGap = fastEventGap(item, service, now);
+    if (fastGap == absl::ZeroDuration() || (item.slowEvents == 0 && silence <= fastGap * SpellGapFactor)) {
+        return false;
+    }
+    std::erase_if(item.movedAt, [&](Instant at) { return now - at > context_.settings.moveWindow; });
+    const double left = eventsLeft(item, service);
+    if (static_cast<int>(item.movedAt.size()) >= context_.settings.maxMoves || left < mostEventsLeft_ * LongItemShare) {
+        return false;
+    }
+    const scheduling::LearnedRates &rates = context_.ratesByService[service];
+    const Instant slowSince = item.slowEvents > 0 ? item.slowSince : item.lastEventAt;
+    scheduling::ReplicaPace here;
+    here.usualGap = fastGap;
+    here.presentGap = silence;
+    if (item.slowEvents > 0) {
+        here.presentGap =
+            std::max(silence, (item.lastEventAt - slowSince) / static_cast<std::int64_t>(item.slowEvents));
+    }
+    here.slowFor = now - slowSince;
+    scheduling::ReplicaPace there;
+    there.usualGap = fastGap;
+    there.distance = rates.connectTime();
+    there.readRate = rates.readRate();
+    const double textTokens = static_cast<double>(item.text.events.size()) * rates.tokensPerEvent();
+    const scheduling::MoveEstimate estimate = scheduling::estimateMove({textTokens, left}, here, there);
+    if (!estimate.pays()) {
+        return false;
+    }
+    std::set<std::string> excluded = item.excludedReplicas;
+    excluded.insert(item.replica);
+    serving::ReplicaTable::ItemRequirements need = requirementsOf(item, service);
+    need.plan = &context_.modelPlan();
+    for (int tried = 0; tried < MaxMoveCandidates; ++tried) {
+        serving::Replica *other = context_.replicas.chooseForItem(need, excluded, now);
+        if (other == nullptr) {
+            return false;
+        }
+        const bool paused = other->inFlight > 0 && now - other->lastEventAt > fastGap * PausedGapFactor;
+        const bool slow = context_.replicas.presentGap(*other, fastGap, now) > fastGap * SpellGapFactor;
+        if (other->eventGap == absl::ZeroDuration() || paused || slow) {
+            excluded.insert(other->entry.id);
+            continue;
+        }
+        telemetry::log(Level::Info, "item", "moved",
+                       {telemetry::requestId(item.spec.id),
+                        {"job", spec_.id},
+                        {"replica", item.replica},
+                        {"to", other->entry.id},
+                        {"events_left", static_cast<std::int64_t>(left)},
+                        {"gap_ms", absl::ToInt64Milliseconds(here.presentGap)},
+                        {"fast_gap_ms", absl::ToInt64Milliseconds(fastGap)},
+                        {"slow_for_ms", absl::ToInt64Milliseconds(here.slowFor)},
+                        {"stay_ms", absl::ToInt64Milliseconds(estimate.stay)},
+                        {"move_ms", absl::ToInt64Milliseconds(estimate.move)}});
+        judgeMove(item, true, now);
+        item.movedAt.push_back(now);
+        item.lastMove = RecentMove{now, here.presentGap, item.text.events.size()};
+        requeue(index, "slow replica", absl::ZeroDuration());
+        startAttempt(index, *other);
+        return true;
+    }
+    return false;
+}
+
+void JobRunner::judgeMove(Item &item, bool ended, Instant now)
+{
+    if (!item.lastMove) {
         return;
     }
-    replica->eventGap = replica->eventGap == absl::ZeroDuration()
-        ? gap
-        : replica->eventGap * (1 - EventGapSmoothing) + gap * EventGapSmoothing;
-    replica->lastEventAt = now;
+    // Text that was discarded since says nothing about the replicas.
+    const std::size_t made = item.text.events.size();
+    const std::size_t events = made > item.lastMove->eventsBefore ? made - item.lastMove->eventsBefore : 0;
+    if (events < JudgedEvents && !ended) {
+        return;
+    }
+    const absl::Duration taken = now - item.lastMove->at;
+    const bool won = taken < item.lastMove->gapBefore * static_cast<std::int64_t>(events);
+    telemetry::log(Level::Info, "item", won ? "move_won" : "move_lost",
+                   {telemetry::requestId(item.spec.id),
+                    {"job", spec_.id},
+                    {"replica", item.replica},
+                    {"events", events},
+                    {"took_ms", absl::ToInt64Milliseconds(taken)},
+                    {"gap_before_ms", absl::ToInt64Milliseconds(item.lastMove->gapBefore)}});
+    item.lastMove.reset();
 }
 
 void JobRunner::onEvent(std::size_t index, std::uint64_t attempt, serving::StreamEvent event)
@@ -365,6 +517,10 @@
     item.text.lastEventId = event.id;
     item.text.addVersion(version->second);
     item.text.events.push_back(std::move(event.data));
+    judgeMove(item, false, item.lastEventAt);
+    if (item.slowEvents > 0) {
+        moveIfSooner(index, item.lastEventAt); // Between two events the least is lost.
+    }
 }
 
 void JobRunner::onDone(std::size_t index, std::uint64_t attempt, const serving::ReplicaHead &head,
@@ -394,7 +550,10 @@
     } else if (head.status == 200 && !item.text.empty()) {
         if (replica != nullptr) {
             context_.replicas.recordSuccess(*replica);
+            context_.ratesByService[replica->entry.service].recordItem(item.spec.lengthHint,
+                                                                       static_cast<double>(item.text.events.size()));
         }
+        judgeMove(item, true, now);
         releaseReplica(index);
         onTextComplete(index);
     } else if (head.status == 422) {
@@ -475,12 +634,7 @@
     const Instant now = net::loopNow();
     const serving::Route *route = this->route();
     const bool expired = route != nullptr && timeLeft(*route, now) < absl::ZeroDuration();
-    const bool requiresSingleVersion = singleVersion();
-    serving::ReplicaTable::ItemRequirements need;
-    need.model = spec_.model;
-    need.minVersion = spec_.minVersion;
-    need.regions = regions();
-    absl::Duration fastGap; // Event gap of the fast replicas for `need`, once `need` names a service.
+    double mostEventsLeft = 0;
     for (std::size_t index = 0; index < tracker_.items().size(); ++index) {
         Item &item = tracker_.items()[index];
         const bool open =
@@ -505,27 +659,12 @@
             requeue(index, "silent", absl::ZeroDuration());
             continue;
         }
-        if (replica == nullptr || item.moves >= context_.settings.maxMovesPerItem
-            || now - item.startedAt < context_.settings.minTimeBeforeMove) {
-            continue;
-        }
-        // Items of a single version differ in the replicas that they may use.
-        if (requiresSingleVersion || need.service != replica->entry.service) {
-            need.service = replica->entry.service;
-            need.exactVersion = requiresSingleVersion && !item.text.empty() ? item.text.versions.front() : 0;
-            fastGap = context_.replicas.fastEventGap(need);
-        }
-        const double factor = item.text.events.size() >= LongAttemptEvents ? LongAttemptFactor : SlowReplicaFactor;
-        if (fastGap == absl::ZeroDuration() || replica->eventGap <= fastGap * factor) {
-            continue;
-        }
-        const serving::Replica *other = context_.replicas.chooseForItem(need, {item.replica}, now);
-        if (other != nullptr && other->eventGap > absl::ZeroDuration()
-            && other->eventGap * factor < replica->eventGap) {
-            ++item.moves;
-            requeue(index, "slow replica", absl::ZeroDuration());
+        if (replica != nullptr) {
+            mostEventsLeft = std::max(mostEventsLeft, eventsLeft(item, replica->entry.service));
         }
+        moveIfSooner(index, now);
     }
+    mostEventsLeft_ = mostEventsLeft;
     flushIfDue();
     sendWaitingItems();
     sendRewardCalls();
--- a/src/jobs/jobrunner.h
+++ b/src/jobs/jobrunner.h
@@ -78,6 +78,17 @@
     void requeue(std::size_t index, std::string_view reason, absl::Duration delay);
     void releaseReplica(std::size_t index);
     void updateEventGap(Item &item, Instant now);
+    /// Event gap of the fast replicas that may run the item, among those of the service; zero if not known.
+    absl::Duration fastEventGap(const Item &item, const std::string &service, Instant now);
+    /// What the replicas must meet to go on with the item.
+    serving::ReplicaTable::ItemRequirements requirementsOf(const Item &item, const std::string &service);
+    /// Expected number of events that the item still makes.
+    double eventsLeft(const Item &item, const std::string &service) const;
+    /// Moves the item if it runs in a slow spell and is expected to end sooner at another replica, reading its text
+    /// again included. Returns true if it was moved.
+    bool moveIfSooner(std::size_t index, Instant now);
+    /// Logs whether the last move of the item gained time, once enough events have followed it or the item has ended.
+    void judgeMove(Item &item, bool ended, Instant now);
     void onTextComplete(std::size_t index);
     void onRewardReply(std::size_t index, int maxAttempts, const RewardReply &reply);
     void cancelRewardCall(Item &item);
@@ -109,6 +120,13 @@
     std::uint64_t lastAttempt_ = 0;
     std::map<std::uint64_t, net::CallId> callsByAttempt_; ///< Key: number of the attempt.
     std::map<std::uint64_t, std::uint64_t> attemptVersions_; ///< Current weight version of each attempt.
+    struct KnownGap
+    {
+        absl::Duration gap;
+        Instant at;
+    };
+    std::map<std::pair<std::string, std::uint64_t>, KnownGap> fastGaps_; ///< By service and required version.
+    double mostEventsLeft_ = 0; ///< Of the open items, as of the last tick.
     std::map<std::string, std::string> groupReplica_; ///< Replica to which a group's prompt was last sent.
     std::optional<Segment> pendingSegment_; ///< Being stored; unchanged until the outcome of the write is known.
     Instant lastFlushAt_;
--- a/src/serving/replica.h
+++ b/src/serving/replica.h
@@ -67,6 +67,8 @@
     Instant removeAt = Instant(absl::InfiniteDuration());
     absl::Duration eventGap; ///< Smoothed time between two events of a stream; zero if not known.
     Instant lastEventAt; ///< Time of the last event that updated eventGap.
+    absl::Duration lastGap; ///< Newest gap of any stream, not smoothed; zero if not known.
+    Instant slowSince; ///< Begin of the slow gaps up to lastEventAt; meaningful while lastGap is slow.
     ReplicaLoad load; ///< As last reported by the replica; meaningful only shortly after loadAt.
     Instant loadAt = Instant(-absl::InfiniteDuration());
 
--- a/src/serving/replicatable.cpp
+++ b/src/serving/replicatable.cpp
@@ -13,6 +13,9 @@
 // measurement is noisy. Above the second factor a replica is considered faulty.
 constexpr double EqualGapFactor = 1.15;
 constexpr double SlowGapFactor = 1.8;
+// A single gap above this factor belongs to a slow spell: single gaps of sound replicas differ by an eighth.
+constexpr double SpellGapFactor = 1.5;
+constexpr double EventGapSmoothing = 0.15; // Weight of the newest gap.
 // One in this many slots of a replica is kept free of background calls.
 constexpr int ReservedSlotsDivisor = 3;
 
@@ -114,6 +117,7 @@
     for (auto &[id, replica] : replicas_) {
         if (replica.eventGap > absl::ZeroDuration() && now - replica.lastEventAt > settings_.eventGapTtl) {
             replica.eventGap = absl::ZeroDuration();
+            replica.lastGap = absl::ZeroDuration();
         }
     }
     for (auto it = replicas_.begin(); it != replicas_.end();) {
@@ -312,13 +316,14 @@
         }
         // The preferred replica is chosen over less loaded ones until more than half of its slots are taken.
         const bool notPreferred = id != requirements.preferred || replica.inFlight * 2 > replica.entry.slots;
-        const std::tuple<bool, int, bool, bool, bool, int, int> rank{replica.requestLimit.has_value(),
-                                                                     slownessRank(replica.eventGap, fastGap),
-                                                                     !planned,
-                                                                     replica.entry.spot,
-                                                                     notPreferred,
-                                                                     replica.inFlight,
-                                                                     zoneDistance(replica)};
+        const std::tuple<bool, int, bool, bool, bool, int, int> rank{
+            replica.requestLimit.has_value(),
+            slownessRank(presentGap(replica, fastGap, now), fastGap),
+            !planned,
+            replica.entry.spot,
+            notPreferred,
+            replica.inFlight,
+            zoneDistance(replica)};
         if (best == nullptr || rank < bestRank) {
             best = &replica;
             bestRank = rank;
@@ -347,6 +352,35 @@
     return *third;
 }
 
+void ReplicaTable::recordEventGap(Replica &replica, absl::Duration gap, absl::Duration fastGap, Instant now)
+{
+    const bool wasSlow = replica.lastGap > fastGap * SpellGapFactor;
+    if (!wasSlow && gap > fastGap * SpellGapFactor) {
+        replica.slowSince = now - gap;
+    }
+    replica.lastGap = gap;
+    replica.eventGap = replica.eventGap == absl::ZeroDuration()
+        ? gap
+        : replica.eventGap * (1 - EventGapSmoothing) + gap * EventGapSmoothing;
+    replica.lastEventAt = now;
+}
+
+absl::Duration ReplicaTable::presentGap(const Replica &replica, absl::Duration fastGap, Instant now) const
+{
+    if (fastGap > absl::ZeroDuration() && replica.loadAt > replica.lastEventAt
+        && now - replica.loadAt <= settings_.loadTtl && replica.load.slowdown != 1) {
+        return fastGap * replica.load.slowdown;
+    }
+    if (replica.lastGap == absl::ZeroDuration()) {
+        return replica.eventGap;
+    }
+    if (replica.lastGap <= fastGap * SpellGapFactor) {
+        return std::min(replica.lastGap, replica.eventGap);
+    }
+    const absl::Duration seen = replica.lastEventAt - replica.slowSince;
+    return now - replica.lastEventAt <= seen ? replica.lastGap : absl::ZeroDuration();
+}
+
 void ReplicaTable::recordLoad(Replica &replica, const std::optional<ReplicaLoad> &load, Instant now)
 {
     if (load) {
--- a/src/serving/replicatable.h
+++ b/src/serving/replicatable.h
@@ -116,6 +116,12 @@
     /// third; the shortest gap counts. Zero if no gap is known.
     absl::Duration fastEventGap(const ItemRequirements &requirements) const;
 
+    /// Records the time between two events of a stream of the replica. `fastGap` is that of the fast replicas.
+    static void recordEventGap(Replica &replica, absl::Duration gap, absl::Duration fastGap, Instant now);
+    /// Event gap that is expected of the replica now: the newest evidence counts, and a slow spell without newer
+    /// evidence is expected to last as long again as it was seen. Zero if nothing is known.
+    absl::Duration presentGap(const Replica &replica, absl::Duration fastGap, Instant now) const;
+
     /// True if a request may be sent to the replica now: it has no request limit, or this node has a permit.
     static bool hasPermit(const Replica &replica, Instant now);
     /// Uses up a permit, if the replica has a request limit.
