--- a/src/jobs/jobrunner.cpp
+++ b/src/jobs/jobrunner.cpp
@@ -28,7 +28,7 @@
 constexpr int MaxMoveCandidates = 3;
 // A busy replica without an event for this multiple of the usual gap pauses, for example to load weights.
 constexpr double PausedGapFactor = 3;
-constexpr absl::Duration VersionRetryDelay = absl::Milliseconds(50);
+constexpr absl::Duration RefusalRetryDelay = absl::Milliseconds(50);
 
 } // namespace
 
@@ -303,7 +303,9 @@
     item.lastEventAt = net::loopNow();
     serving::Replica *replica = context_.replicas.find(item.replica);
     if (replica != nullptr) {
-        serving::ReplicaTable::recordLoad(*replica, head.load, item.lastEventAt);
+        if (head.load && head.load->slowdown != 1) {
+            serving::ReplicaTable::recordLoad(*replica, head.load, item.lastEventAt);
+        }
         context_.ratesByService[replica->entry.service].recordHead(item.lastEventAt - item.startedAt);
     }
     if (!head.weightVersion) {
@@ -315,12 +317,15 @@
         replica->entry.weightVersions[spec_.model] = *head.weightVersion;
     }
     if (*head.weightVersion < spec_.minVersion) {
-        requeue(index, "weight version too old", VersionRetryDelay);
+        // The table now knows the replica's version, so it isn't chosen again.
+        requeue(index, "weight version too old", absl::ZeroDuration());
+        sendWaitingItems();
         return;
     }
     if (wouldMixVersions(item, *head.weightVersion)) {
         item.text = {};
-        requeue(index, "weight version differs from that of the text", VersionRetryDelay);
+        requeue(index, "weight version differs from that of the text", absl::ZeroDuration());
+        sendWaitingItems();
         return;
     }
     attemptVersions_[attempt] = *head.weightVersion;
@@ -503,7 +508,8 @@
     }
     if (wouldMixVersions(item, version->second)) {
         item.text = {};
-        requeue(index, "weight version changed during the attempt", VersionRetryDelay);
+        requeue(index, "weight version changed during the attempt", absl::ZeroDuration());
+        sendWaitingItems();
         return;
     }
     item.attemptBytes += event.data.size();
@@ -544,9 +550,12 @@
             head.instanceMismatch ? context_.replicas.recordFailure(*replica, now)
                                   : context_.replicas.recordRefusal(*replica, head.load, now);
         }
-        // It may be loading weights for a second: the others are tried first.
+        // It may be loading weights for a second: the others are tried first, at once if it said that it has free
+        // slots.
         item.excludedReplicas.insert(item.replica);
-        requeue(index, "not run", VersionRetryDelay);
+        const bool loading = replica != nullptr && head.load && head.load->waiting == 0
+            && head.load->running < head.load->slots && !head.instanceMismatch;
+        requeue(index, "not run", loading ? absl::ZeroDuration() : RefusalRetryDelay);
     } else if (head.status == 200 && !item.text.empty()) {
         if (replica != nullptr) {
             context_.replicas.recordSuccess(*replica);
