serving: tests of the pace that is expected of a replica now

Cause: the choice by the newest gap and by reported paces had no test of its own, nor had the choice without them.

Change: tests of both.

--- a/tests/serving/replicatabletest.cpp
+++ b/tests/serving/replicatabletest.cpp
@@ -178,6 +178,52 @@
     CHECK(replicas.find("a")->eventGap == absl::ZeroDuration());
 }
 
+// Load: machines that are shared for half a second. Guards against items that avoid a replica long after its slow
+// spell, and against items sent into a spell that a smoothed gap doesn't show yet.
+TEST_CASE("a slow spell counts while it is seen, as long again without newer events, and not after a fast one")
+{
+    const auto ms = [](double number) { return absl::Milliseconds(number); };
+    const absl::Duration fast = ms(48);
+    ReplicaTable replicas = table();
+    for (const char *id : {"a", "b"}) {
+        replicas.update(entry(id));
+        for (int i = 0; i < 20; ++i) {
+            ReplicaTable::recordEventGap(*replicas.find(id), fast, fast, Now);
+        }
+    }
+    Replica &a = *replicas.find("a");
+    const Instant seen = Now + ms(240);
+    ReplicaTable::recordEventGap(a, ms(120), fast, Now + ms(120));
+    ReplicaTable::recordEventGap(a, ms(120), fast, seen);
+    CHECK(a.eventGap < ms(72)); // The smoothed gap lags behind.
+    CHECK(replicas.presentGap(a, fast, seen + ms(200)) == ms(120));
+    CHECK(replicas.chooseForItem(need(), {}, seen)->entry.id == "b");
+    CHECK(replicas.presentGap(a, fast, seen + ms(300)) == absl::ZeroDuration());
+    ReplicaTable::recordEventGap(a, fast, fast, seen + fast);
+    CHECK(replicas.presentGap(a, fast, seen + fast) == fast);
+    CHECK(replicas.chooseForItem(need(), {}, seen + fast)->entry.id == "a");
+    // A report that is newer than the last event counts, for a short time.
+    ReplicaTable::recordLoad(a, ReplicaLoad{1, 0, 2, 2.5}, seen + ms(100));
+    CHECK(replicas.chooseForItem(need(), {}, seen + ms(100))->entry.id == "b");
+    CHECK(replicas.chooseForItem(need(), {}, seen + ms(400))->entry.id == "a");
+}
+
+// Guards against a choice that changes where nothing was measured.
+TEST_CASE("without event gaps and reported paces the least loaded replica is chosen, the preferred one first")
+{
+    ReplicaTable replicas = table();
+    for (const char *id : {"a", "b"}) {
+        replicas.update(entry(id));
+        ReplicaTable::recordLoad(*replicas.find(id), ReplicaLoad{1, 0, 2}, Now);
+    }
+    CHECK(replicas.fastEventGap(need()) == absl::ZeroDuration());
+    replicas.find("a")->inFlight = 1;
+    CHECK(replicas.chooseForItem(need(), {}, Now)->entry.id == "b");
+    ReplicaTable::ItemRequirements preferred = need();
+    preferred.preferred = "a";
+    CHECK(replicas.chooseForItem(preferred, {}, Now)->entry.id == "a");
+}
+
 // Load: a training step on 31 replicas of the same speed, whose measured gaps differ by up to an eighth. Guards against
 // items that are moved off sound replicas because the shortest of 31 measurements is far below the speed of any
 // replica.
