jobs: test of a move from a slow replica to another one

Cause: no test sent an item through a move by the estimate.

Change: an item on a replica that is eight times as slow as the others were measured moves with its text, at most three times. Measured: the case passes.

--- a/tests/jobs/jobservicetest.cpp
+++ b/tests/jobs/jobservicetest.cpp
@@ -656,3 +656,28 @@
         }
     }
 }
+
+// Guards against an item that stays on a slow replica, loses its text by the move, or moves back and forth without end:
+// the replica that the item begins on makes events eight times as slowly as the others were measured to.
+TEST_CASE("a long item leaves a slow replica with its text, a bounded number of times")
+{
+    JobCluster cluster({"a"});
+    cluster.replicas.eventsPerItem = 30;
+    cluster.replicas.eventGap = absl::Milliseconds(40);
+    REQUIRE(cluster.submit("a", JobCluster::spec("job", 1)) == SubmitOutcome::Accepted);
+    REQUIRE(runUntil(cluster.loop, [&cluster] { return !cluster.replicas.receivedRequests.empty(); }));
+    serving::ReplicaTable &table = cluster.tableOf("a");
+    for (const auto &[id, replica] : table.all()) {
+        if (id != cluster.replicas.receivedRequests.front().replica) {
+            serving::ReplicaTable::recordEventGap(*table.find(id), absl::Milliseconds(5), absl::Milliseconds(5),
+                                                  net::loopNow());
+        }
+    }
+    REQUIRE(cluster.waitForResults("a", "job", 1));
+    const auto &requests = cluster.replicas.receivedRequests;
+    REQUIRE(requests.size() >= 2);
+    CHECK(requests.size() <= 4);
+    CHECK(requests[1].replica != requests[0].replica);
+    CHECK(requests[1].resumeAfter.has_value());
+    CHECK(cluster.read("a", "job").second.results.front().text == FakeReplicas::textOf("job-0", 30));
+}
