scheduling, control: replicas of model services are ordered by demand

Cause: all items of a step want a slot at once while half of a model's replicas load a version, so that items wait seconds for a slot. The controller only replaced missing replicas.

Change: nodes report the items of a job with the demand. The limit on concurrent weight loads follows the stored count. Services whose items find slots get the orders they got before.

--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -114,6 +114,8 @@
     versions_.start();
     retirements_.start();
     desiredCountsLoaded_ = false;
+    capacityByService_.clear();
+    scale_.setExtraCounts({});
     usage_.reset();
 }
 
@@ -161,7 +163,7 @@
                             {"model", model},
                             {"replicas", count},
                             {"of", replicas},
-                            {"tokens_per_s", known == demand.end() ? 0 : std::llround(known->second)}});
+                            {"tokens_per_s", known == demand.end() ? 0 : std::llround(known->second.tokensPerSecond)}});
         }
     }
     return shares.counts();
@@ -199,7 +201,8 @@
                                    [&](const serving::WeightedService &choice) { return choice.service == name; });
             });
         for (const WeightOrder &order :
-             weights_.dueOrders(replicas, requiresSingleVersion ? SwapMode::Wait : SwapMode::Truncate, now)) {
+             weights_.dueOrders(replicas, requiresSingleVersion ? SwapMode::Wait : SwapMode::Truncate, now,
+                                weightStoreReplicas(name))) {
             const auto holder = this->holder();
             serving::Replica *replica = context_.replicas.find(order.replica);
             if (!holder || replica == nullptr) {
@@ -277,6 +280,77 @@
     });
 }
 
+double Controller::slotsPerReplica(const std::string &service) const
+{
+    double slots = 0;
+    const auto replicas = usableReplicas(service);
+    for (const serving::Replica *replica : replicas) {
+        slots += replica->entry.slots;
+    }
+    return replicas.empty() ? 0 : slots / static_cast<double>(replicas.size());
+}
+
+std::optional<std::size_t> Controller::weightStoreReplicas(const std::string &service) const
+{
+    const auto plan = capacityByService_.find(service);
+    return plan == capacityByService_.end() || !plan->second.active()
+        ? std::nullopt
+        : std::optional(static_cast<std::size_t>(plan->second.base()));
+}
+
+std::map<std::string, PlannedReplicas> Controller::plannedReplicas() const
+{
+    std::map<std::string, PlannedReplicas> counts;
+    if (leading()) {
+        for (const auto &[service, plan] : capacityByService_) {
+            counts[service] = {plan.wanted(), plan.base()};
+        }
+    }
+    return counts;
+}
+
+void Controller::planCapacity(const serving::GatewayConfig &config, const ScalePlan::Counts &serving, Instant now)
+{
+    const scheduling::DemandByModel demand = demandBook_.demand(now);
+    ScalePlan::Counts extraCounts;
+    for (const auto &[name, service] : config.services) {
+        if (!service.scaling || service.models.empty()) {
+            continue;
+        }
+        scheduling::ServiceCapacity capacity;
+        capacity.slotsPerReplica = slotsPerReplica(name);
+        capacity.maxPerZone = service.scaling->maximum;
+        for (const auto &[serviceZone, base] : scale_.desiredCounts()) {
+            if (serviceZone.first == name) {
+                const auto price = service.scaling->priceByZone.find(serviceZone.second);
+                const auto count = serving.find(serviceZone);
+                capacity.zones[serviceZone.second] = {base, count == serving.end() ? 0 : count->second,
+                                                      price == service.scaling->priceByZone.end() ? 1 : price->second,
+                                                      scale_.hasCapacity(serviceZone, now)};
+            }
+        }
+        double items = 0;
+        for (const std::string &model : service.models) {
+            const auto reported = demand.find(model);
+            items += reported == demand.end() ? 0 : reported->second.items;
+        }
+        scheduling::CapacityPlan &plan = capacityByService_.try_emplace(name, context_.settings.capacity).first->second;
+        const scheduling::CapacityChange change = plan.update(capacity, items, now);
+        if (change != scheduling::CapacityChange::None) {
+            telemetry::log(Level::Info, "scale", "planned",
+                           {{"service", name},
+                            {"wanted", plan.wanted()},
+                            {"base", plan.base()},
+                            {"items", std::llround(items)},
+                            {"reason", nameOf(change)}});
+        }
+        for (const auto &[zone, extra] : plan.extraByZone()) {
+            extraCounts[{name, zone}] = extra;
+        }
+    }
+    scale_.setExtraCounts(std::move(extraCounts));
+}
+
 void Controller::pollScale(Instant now)
 {
     const serving::GatewayConfig *config = context_.config();
@@ -296,7 +370,9 @@
             maxReplicas[name] = service.scaling->maximum;
         }
     }
-    for (const ScaleOrder &order : scale_.dueOrders(servingCounts(), maxReplicas, now)) {
+    const ScalePlan::Counts serving = servingCounts();
+    planCapacity(*config, serving, now);
+    for (const ScaleOrder &order : scale_.dueOrders(serving, maxReplicas, now)) {
         const auto holder = this->holder();
         if (!holder) {
             return;
--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -11,6 +11,7 @@
 #include "control/weightplan.h"
 #include "jobs/jobcontext.h"
 #include "objects/objectmirror.h"
+#include "scheduling/capacityplan.h"
 #include "serving/gatewayconfig.h"
 #include "serving/replicatable.h"
 
@@ -23,6 +24,13 @@
 
 namespace currantlug::control {
 
+/// Replica counts of a service in all zones.
+struct PlannedReplicas
+{
+    int wanted = 0;
+    int base = 0; ///< Stored desired count.
+};
+
 struct PublishedVersion
 {
     std::string model;
@@ -42,6 +50,7 @@
 struct ControllerSettings
 {
     UsageReporterSettings usage;
+    scheduling::CapacityPlanSettings capacity;
     objects::MirrorSettings mirror; ///< For published weight versions and retirements.
     absl::Duration scalePeriod = absl::Milliseconds(500);
     /// Time from acquiring the lease to reading the desired replica counts. If none are stored, the counts of the
@@ -92,6 +101,8 @@
     const std::map<std::string, std::string> &modelByReplica() const { return weights_.modelByReplica(); }
     /// Replicas that each model is to have, by model; empty unless this node leads.
     scheduling::ReplicaCounts replicaShares() const;
+    /// By service with models and scaling limits; empty unless this node leads.
+    std::map<std::string, PlannedReplicas> plannedReplicas() const;
     /// Gives up the lease, if held, so that a successor need not wait for it to expire.
     void release();
 
@@ -104,6 +115,11 @@
     const scheduling::ReplicaCounts &shares(const std::string &service, int replicas,
                                             const std::vector<std::string> &models, Instant now);
     void pollScale(Instant now);
+    /// Decides the replicas beyond the desired counts, from demand.
+    void planCapacity(const serving::GatewayConfig &config, const ScalePlan::Counts &serving, Instant now);
+    /// Mean slots of the usable replicas of a service; 0 if there is none.
+    double slotsPerReplica(const std::string &service) const;
+    std::optional<std::size_t> weightStoreReplicas(const std::string &service) const;
     void loadDesiredCounts();
     void onRetirement(const objects::ObjectChange &change);
     std::vector<const serving::Replica *> usableReplicas(const std::string &service) const;
@@ -116,6 +132,7 @@
     ScalePlan scale_;
     scheduling::DemandBook demandBook_;
     std::map<std::string, scheduling::ModelShares> sharesByService_;
+    std::map<std::string, scheduling::CapacityPlan> capacityByService_; ///< Rebuilt by each new leader.
     UsageReporter usage_;
     objects::ObjectMirror versions_;
     objects::ObjectMirror retirements_;
--- a/src/control/weightplan.cpp
+++ b/src/control/weightplan.cpp
@@ -117,7 +117,7 @@
 }
 
 std::vector<WeightOrder> WeightPlan::dueOrders(const std::vector<const serving::Replica *> &replicas, SwapMode mode,
-                                               Instant now)
+                                               Instant now, std::optional<std::size_t> weightStoreReplicas)
 {
     for (const serving::Replica *replica : replicas) {
         resetAfterRestart(replica->entry);
@@ -178,7 +178,8 @@
         }
     }
     const auto share = static_cast<std::size_t>(settings_.replicasPerConcurrentLoad);
-    const std::size_t maxConcurrentLoads = (replicas.size() + share / 2) / share + 1;
+    const std::size_t sizedFor = std::min(replicas.size(), weightStoreReplicas.value_or(replicas.size()));
+    const std::size_t maxConcurrentLoads = (sizedFor + share / 2) / share + 1;
     std::vector<WeightOrder> orders;
     for (const Candidate &candidate : candidates) {
         if (loads_.size() >= maxConcurrentLoads) {
--- a/src/control/weightplan.h
+++ b/src/control/weightplan.h
@@ -53,9 +53,10 @@
     /// per call is reassigned while the surpluses of two models, relative to those numbers, differ by two or more.
     void assign(const std::vector<const serving::Replica *> &replicas, const std::vector<std::string> &models,
                 const scheduling::ReplicaCounts &counts = {});
-    /// Returns the orders to send now.
+    /// Returns the orders to send now. `weightStoreReplicas` is the number of replicas that the weight store is sized
+    /// for, if less than all: it doesn't grow with replicas ordered for demand.
     std::vector<WeightOrder> dueOrders(const std::vector<const serving::Replica *> &replicas, SwapMode mode,
-                                       Instant now);
+                                       Instant now, std::optional<std::size_t> weightStoreReplicas = std::nullopt);
 
     void onReply(const WeightOrder &order, OrderReply reply, Instant now);
     /// Processes a replica's report, which arrived at `now`.
--- a/src/jobs/jobservice.cpp
+++ b/src/jobs/jobservice.cpp
@@ -353,8 +353,8 @@
     owned->memory = memoryFor(spec);
     const serving::GatewayConfig *config = context_.config();
     const serving::Route *route = config == nullptr ? nullptr : config->findRoute(spec.host, spec.path);
-    demand_.recordJob(spec.model, expectedWork(spec),
-                      route == nullptr ? absl::InfiniteDuration() : route->resultDue, net::loopNow());
+    demand_.recordJob(spec.model, expectedWork(spec), route == nullptr ? absl::InfiniteDuration() : route->resultDue,
+                      net::loopNow(), spec.items.size());
     owned->runner = std::make_shared<JobRunner>(context_, rewards_, std::move(spec), record.submittedMs, std::move(log),
                                                 JobRunner::Hooks{[this, id = record.id] { servePendingReads(id); },
                                                                  [this, id = record.id] { checkOwnership(id); }});
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -577,6 +577,7 @@
     status.longestStall = stallDetector_.longest();
     status.modelDemand = jobs_->demand();
     status.replicaShares = controller_->replicaShares();
+    status.plannedReplicas = controller_->plannedReplicas();
     if (scrapeHandler_) {
         scrapeHandler_(metrics_.registry());
     }
--- a/src/node/nodemetrics.cpp
+++ b/src/node/nodemetrics.cpp
@@ -165,11 +165,25 @@
         registry_.gauge("currantlug_items", "Items of the open batch jobs by state.", {{"state", std::string(name)}})
             .set(found == status.items.end() ? 0 : static_cast<double>(found->second));
     }
-    for (const auto &[model, rate] : status.modelDemand) {
+    for (const auto &[model, demand] : status.modelDemand) {
         registry_
             .gauge("currantlug_model_demand_tokens_per_second", "Demand of the trainers whose jobs this node runs.",
                    {{"model", model}})
-            .set(rate);
+            .set(demand.tokensPerSecond);
+        registry_
+            .gauge("currantlug_model_demand_items", "Items of a job of the trainers whose jobs this node runs.",
+                   {{"model", model}})
+            .set(demand.items);
+    }
+    for (const auto &[service, counts] : status.plannedReplicas) {
+        registry_
+            .gauge("currantlug_service_replicas_wanted",
+                   "Replicas that the demand for a service calls for, at the leader.", {{"service", service}})
+            .set(counts.wanted);
+        registry_
+            .gauge("currantlug_service_replicas_base", "Replicas of a service without demand, at the leader.",
+                   {{"service", service}})
+            .set(counts.base);
     }
     for (const auto &[model, count] : status.replicaShares) {
         registry_
--- a/src/node/nodemetrics.h
+++ b/src/node/nodemetrics.h
@@ -3,6 +3,7 @@
 #ifndef CURRANTLUG_NODE_NODEMETRICS_H
 #define CURRANTLUG_NODE_NODEMETRICS_H
 
+#include "control/controller.h"
 #include "jobs/itemtracker.h"
 #include "scheduling/modelshares.h"
 #include "serving/gatewayconfig.h"
@@ -51,6 +52,7 @@
     std::uint64_t connectionsOpened = 0; ///< To replicas, peers and the object store since the start.
     scheduling::DemandByModel modelDemand; ///< Of the jobs that this node runs.
     scheduling::ReplicaCounts replicaShares; ///< Empty unless this node leads.
+    std::map<std::string, control::PlannedReplicas> plannedReplicas; ///< By service; empty unless this node leads.
     absl::Duration longestStall; ///< Of the event loop since the start.
 };
 
--- a/src/node/peermesh.cpp
+++ b/src/node/peermesh.cpp
@@ -80,8 +80,8 @@
                                   statement.requestLimit ? Json(*statement.requestLimit) : Json(),
                                   absl::ToInt64Milliseconds(now - statement.statedAt)});
     }
-    for (const auto &[model, rate] : info.modelDemand) {
-        json["demand"][model] = rate;
+    for (const auto &[model, demand] : info.modelDemand) {
+        json["demand"][model] = {{"tokens_per_s", demand.tokensPerSecond}, {"items", demand.items}};
     }
     for (const serving::SuspectStatement &statement : info.crashSuspects) {
         json["suspects"].push_back(toJson(statement));
@@ -116,9 +116,13 @@
         }
     }
     const Json demand = fieldOrNull(value, "demand");
-    for (const auto &[model, rate] : demand.items()) {
-        if (demand.is_object() && rate.is_number()) {
-            info.modelDemand[model] = rate.get<double>();
+    for (const auto &[model, reported] : demand.items()) {
+        if (demand.is_object() && reported.is_object()) {
+            info.modelDemand[model] = {fieldOr<double>(reported, "tokens_per_s", 0),
+                                       fieldOr<double>(reported, "items", 0)};
+        } else if (demand.is_object() && reported.is_number()) {
+            // Nodes of the release before state only tokens a second.
+            info.modelDemand[model] = reported.get<double>();
         }
     }
     for (const Json &suspect : fieldOrNull(value, "suspects")) {
--- a/src/scheduling/modeldemand.cpp
+++ b/src/scheduling/modeldemand.cpp
@@ -5,17 +5,19 @@
 
 namespace currantlug::scheduling {
 
-void DemandMeter::recordJob(const std::string &model, double work, absl::Duration due, Instant now)
+void DemandMeter::recordJob(const std::string &model, double work, absl::Duration due, Instant now, std::size_t items)
 {
     if (model.empty() || work <= 0) {
         return;
     }
     const bool dueKnown = due > absl::ZeroDuration() && due < absl::InfiniteDuration();
     const double rate = work / absl::ToDoubleSeconds(dueKnown ? due : settings_.defaultDue);
-    const auto [found, isNew] = jobsByModel_.try_emplace(model, Jobs{rate, now});
+    const auto [found, isNew] = jobsByModel_.try_emplace(model, Jobs{{rate, static_cast<double>(items)}, now});
     Jobs &jobs = found->second;
     if (!isNew) {
-        jobs.rate = jobs.rate * (1 - settings_.workSmoothing) + rate * settings_.workSmoothing;
+        const double weight = settings_.workSmoothing;
+        jobs.demand.tokensPerSecond += (rate - jobs.demand.tokensPerSecond) * weight;
+        jobs.demand.items += (static_cast<double>(items) - jobs.demand.items) * weight;
         jobs.lastAt = now;
     }
 }
@@ -25,7 +27,7 @@
     DemandByModel demand;
     for (const auto &[model, jobs] : jobsByModel_) {
         if (now - jobs.lastAt <= settings_.ttl) {
-            demand[model] = jobs.rate;
+            demand[model] = jobs.demand;
         }
     }
     return demand;
@@ -46,9 +48,10 @@
         if (now - report.at > settings_.ttl) {
             continue;
         }
-        for (const auto &[model, rate] : report.demand) {
-            double &largest = demand[model];
-            largest = std::max(largest, rate);
+        for (const auto &[model, reported] : report.demand) {
+            ModelDemand &largest = demand[model];
+            largest.tokensPerSecond = std::max(largest.tokensPerSecond, reported.tokensPerSecond);
+            largest.items = std::max(largest.items, reported.items);
         }
     }
     return demand;
--- a/src/scheduling/modeldemand.h
+++ b/src/scheduling/modeldemand.h
@@ -15,12 +15,25 @@
 
 namespace currantlug::scheduling {
 
-/// Work a second, in tokens, by model.
-using DemandByModel = std::map<std::string, double>;
+struct ModelDemand
+{
+    ModelDemand(double workRate = 0, double wantedSlots = 0)
+        : tokensPerSecond(workRate)
+        , items(wantedSlots)
+    {
+    }
+
+    double tokensPerSecond; ///< Work of a job over the time until its results are due.
+    double items; ///< Items of a job, each of which wants a slot; 0 if unknown.
+
+    bool operator==(const ModelDemand &) const = default;
+};
+
+using DemandByModel = std::map<std::string, ModelDemand>;
 
 struct DemandMeterSettings
 {
-    double workSmoothing = 0.5; ///< Weight of the newest job in the mean work of a job.
+    double workSmoothing = 0.5; ///< Weight of the newest job in the mean work and items of a job.
     /// Results are assumed to be due after this time if the route doesn't say.
     absl::Duration defaultDue = absl::Seconds(8);
     absl::Duration ttl = absl::Seconds(30); ///< A model without a job for this time has no demand.
@@ -35,15 +48,15 @@
     {
     }
 
-    /// A job with this much work runs here, whose results are due this long after its submission. Models without a name
-    /// are not counted.
-    void recordJob(const std::string &model, double work, absl::Duration due, Instant now);
+    /// A job with this much work in this many items runs here, whose results are due this long after its submission.
+    /// Models without a name are not counted.
+    void recordJob(const std::string &model, double work, absl::Duration due, Instant now, std::size_t items = 0);
     DemandByModel demand(Instant now) const;
 
 private:
     struct Jobs
     {
-        double rate = 0; ///< Smoothed work of a job, a second until its results are due.
+        ModelDemand demand; ///< Smoothed over jobs.
         Instant lastAt;
     };
 
--- a/src/scheduling/modelshares.cpp
+++ b/src/scheduling/modelshares.cpp
@@ -12,24 +12,26 @@
 
 constexpr double RoundingTolerance = 1e-9;
 
-/// Demand of each model; empty if it is unknown for one, or too even to matter.
-DemandByModel usableDemand(const std::vector<std::string> &models, const DemandByModel &demand, double minImbalance)
+using RateByModel = std::map<std::string, double>;
+
+/// Work a second of each model; empty if it is unknown for one, or too even to matter.
+RateByModel usableDemand(const std::vector<std::string> &models, const DemandByModel &demand, double minImbalance)
 {
-    DemandByModel usable;
+    RateByModel usable;
     for (const std::string &model : models) {
         const auto found = demand.find(model);
-        if (found == demand.end() || found->second <= 0) {
+        if (found == demand.end() || found->second.tokensPerSecond <= 0) {
             return {};
         }
-        usable[model] = found->second;
+        usable[model] = found->second.tokensPerSecond;
     }
     const auto byDemand = [](const auto &a, const auto &b) { return a.second < b.second; };
     const auto [smallest, largest] = std::minmax_element(usable.begin(), usable.end(), byDemand);
-    return largest->second < smallest->second * minImbalance ? DemandByModel{} : usable;
+    return largest->second < smallest->second * minImbalance ? RateByModel{} : usable;
 }
 
 /// Exact shares: proportional to demand, but not below the floor.
-std::map<std::string, double> exactShares(double replicas, const DemandByModel &demand, double floor)
+std::map<std::string, double> exactShares(double replicas, const RateByModel &demand, double floor)
 {
     std::map<std::string, double> shares;
     std::set<std::string> atFloor;
@@ -61,7 +63,7 @@
 ReplicaCounts shareReplicas(int replicas, const std::vector<std::string> &models, const DemandByModel &demand,
                             double floorFraction, double minImbalance)
 {
-    const DemandByModel usable = usableDemand(models, demand, minImbalance);
+    const RateByModel usable = usableDemand(models, demand, minImbalance);
     if (usable.empty()) {
         return {};
     }
--- a/src/serving/gatewayconfig.h
+++ b/src/serving/gatewayconfig.h
@@ -59,6 +59,7 @@
     int minimum = 0;
     int maximum = 0;
     absl::Duration bootTime;
+    std::map<std::string, double> priceByZone; ///< Relative price of a replica by availability zone; absent: 1.
 };
 
 struct Service
--- a/tests/adapter/codectest.cpp
+++ b/tests/adapter/codectest.cpp
@@ -71,7 +71,8 @@
           {"name":"r2","host":"h.example","path_prefix":"/y/","allowed_regions":[],"kind":"rollout","service":"s1","queue_ttl_s":40.0,
             "result_due_ms":7500,"single_version":true,"resumable":true},
           {"name":"r3","host":"h.example","path_prefix":"/z/","kind":"something-new","service":"s1"}],
-        "services":[{"name":"s1","engine":{"models":[{"name":"m0"}]},"scaling":{"min":1,"max":8,"boot_s":4.0}},
+        "services":[{"name":"s1","engine":{"models":[{"name":"m0"}]},"scaling":{"min":1,"max":8,"boot_s":4.0,
+            "zone_prices":{"z1":0.5,"z2":"free"}}},
           {"name":"s2"}],
         "limits":{"max_header_bytes":1000,"idle_timeout_ms":15000},
         "tenants":[{"name":"t1","api_keys":["k1","k2"],"priority":1,"allowed_regions":["north","south"]},{"name":"t2","api_keys":[]}]})"));
@@ -91,6 +92,7 @@
     CHECK(config->routes[2].kind == serving::RouteKind::Unsafe);
     CHECK(config->services.at("s1").models == std::vector<std::string>{"m0"});
     CHECK(config->services.at("s1").scaling->maximum == 8);
+    CHECK(config->services.at("s1").scaling->priceByZone == std::map<std::string, double>{{"z1", 0.5}});
     CHECK(config->findWorkspaceByKey("k2")->name == "t1");
     CHECK(config->findWorkspaceByKey("none") == nullptr);
     CHECK(config->limits.headerBytes == 1000);
--- a/tests/control/plantest.cpp
+++ b/tests/control/plantest.cpp
@@ -298,6 +298,47 @@
     CHECK(parseScaleCounts(toJson(plan.desiredCounts())) == plan.desiredCounts());
 }
 
+// Guards against replicas that are drained while others are missing, against lost answers, and against a service
+// without extra replicas that is ordered to drain any.
+TEST_CASE("extra replicas are ordered with the total and drained only while none is missing")
+{
+    ScalePlan plan;
+    plan.setDesiredCounts({{{"engine", "z1"}, 4}, {{"engine", "z2"}, 3}});
+    const std::map<std::string, int> maxReplicas{{"engine", 8}};
+    const auto serving = [](int z1, int z2) {
+        return ScalePlan::Counts{{{"engine", "z1"}, z1}, {{"engine", "z2"}, z2}};
+    };
+    for (double now = 0; now < 20; now += 0.5) {
+        CHECK(plan.dueOrders(serving(4, 6), maxReplicas, at(now)).empty());
+    }
+    plan.setExtraCounts({{{"engine", "z1"}, 0}, {{"engine", "z2"}, 3}});
+    plan.dueOrders(serving(4, 3), maxReplicas, at(20));
+    auto orders = plan.dueOrders(serving(4, 3), maxReplicas, at(21));
+    REQUIRE(orders.size() == 1);
+    CHECK(orders[0].desired == 6);
+    plan.onReply(orders[0], DutyReply::Unknown, at(21.1));
+    orders = plan.dueOrders(serving(4, 3), maxReplicas, at(22.5));
+    REQUIRE(orders.size() == 1);
+    CHECK(orders[0].desired == 6);
+    // No capacity: extra replicas are not ordered elsewhere here, which is for the capacity plan.
+    plan.onReply(orders[0], DutyReply::Unavailable, at(22.6));
+    CHECK_FALSE(plan.hasCapacity({"engine", "z2"}, at(23)));
+    CHECK(plan.dueOrders(serving(4, 3), maxReplicas, at(24)).empty());
+    // z1 is reclaimed: z2 keeps its replicas until z1 is whole.
+    plan.setExtraCounts({{{"engine", "z1"}, 0}, {{"engine", "z2"}, 0}});
+    for (double now = 30; now < 40; now += 0.5) {
+        for (const ScaleOrder &order : plan.dueOrders(serving(0, 6), maxReplicas, at(now))) {
+            CHECK(order.availabilityZone == "z1");
+            CHECK(order.desired == 4);
+        }
+    }
+    CHECK(plan.dueOrders(serving(4, 6), maxReplicas, at(41)).empty());
+    orders = plan.dueOrders(serving(4, 6), maxReplicas, at(44.5));
+    REQUIRE(orders.size() == 1);
+    CHECK(orders[0].availabilityZone == "z2");
+    CHECK(orders[0].desired == 3);
+}
+
 TEST_CASE("requests are counted in the window in which they began")
 {
     RequestCounts counts(absl::Seconds(5));
--- a/tests/node/peermeshtest.cpp
+++ b/tests/node/peermeshtest.cpp
@@ -175,3 +175,20 @@
     REQUIRE(spoiled.has_value());
     CHECK(spoiled->leavingReplicas == std::vector<serving::ReplicaIncarnation>{{"r3", "a", 4}});
 }
+
+// Guards against demand that is lost between nodes of two releases: nodes of the earlier one state a number for a
+// model.
+TEST_CASE("the demand for models is read in its present and its earlier form")
+{
+    node::NodeInfo info;
+    info.name = "n";
+    info.control = "c";
+    info.modelDemand = {{"m0", {500, 96}}, {"m1", {700, 144}}};
+    const auto present = node::parseNodeInfo(node::toJson(info));
+    REQUIRE(present.has_value());
+    CHECK(present->modelDemand == info.modelDemand);
+    const auto earlier =
+        node::parseNodeInfo({{"name", "n"}, {"control", "c"}, {"demand", {{"m0", 500}, {"m1", "many"}}}});
+    REQUIRE(earlier.has_value());
+    CHECK(earlier->modelDemand == scheduling::DemandByModel{{"m0", {500, 0}}});
+}
--- a/tests/scheduling/modelsharestest.cpp
+++ b/tests/scheduling/modelsharestest.cpp
@@ -37,10 +37,10 @@
     double longestEqual = 0;
     double shortest = 1e9;
     for (const auto &[model, work] : demand) {
-        const double wait = work / shares.counts().at(model);
+        const double wait = work.tokensPerSecond / shares.counts().at(model);
         longest = std::max(longest, wait);
         shortest = std::min(shortest, wait);
-        longestEqual = std::max(longestEqual, work / (45 / 4));
+        longestEqual = std::max(longestEqual, work.tokensPerSecond / (45 / 4));
     }
     CHECK(longest < longestEqual * 0.85);
     CHECK(longest < shortest * 1.6);
@@ -83,12 +83,12 @@
     DemandMeter meter;
     for (const double submitted : {0.0, 4.0, 14.0, 15.0, 16.0}) {
         meter.recordJob("m0", 4000, absl::Seconds(8), at(submitted));
-        CHECK(meter.demand(at(submitted)).at("m0") == Approx(500));
+        CHECK(meter.demand(at(submitted)).at("m0").tokensPerSecond == Approx(500));
     }
     meter.recordJob("m0", 8000, absl::Seconds(8), at(20));
-    CHECK(meter.demand(at(20)).at("m0") == Approx(750));
+    CHECK(meter.demand(at(20)).at("m0").tokensPerSecond == Approx(750));
     meter.recordJob("m1", 800, absl::InfiniteDuration(), at(20));
-    CHECK(meter.demand(at(20)).at("m1") == Approx(100));
+    CHECK(meter.demand(at(20)).at("m1").tokensPerSecond == Approx(100));
     meter.recordJob("", 800, absl::Seconds(8), at(20));
     CHECK(meter.demand(at(20)).size() == 2);
     CHECK(meter.demand(at(51)).empty());
