tests: limit on loads with extra replicas, smoothed items of a job

Cause: neither the limit on concurrent weight loads with ordered replicas nor the smoothing of items had a test. Change: one test each.

--- a/tests/control/plantest.cpp
+++ b/tests/control/plantest.cpp
@@ -298,6 +298,21 @@
     CHECK(parseScaleCounts(toJson(plan.desiredCounts())) == plan.desiredCounts());
 }
 
+// Guards against loads that all slow down since replicas were ordered for demand: the weight store doesn't grow with
+// them.
+TEST_CASE("the limit on concurrent loads doesn't rise with extra replicas")
+{
+    const auto loadsAtOnce = [](int count, std::optional<std::size_t> sizedFor) {
+        WeightPlan plan;
+        const auto list = replicas(count, {"m0"});
+        plan.assign(pointers(list), {"m0"});
+        plan.onVersionPublished("m0", 3, at(0));
+        return plan.dueOrders(pointers(list), SwapMode::Truncate, at(0), sizedFor).size();
+    };
+    CHECK(loadsAtOnce(60, 45) == loadsAtOnce(45, std::nullopt));
+    CHECK(loadsAtOnce(40, 45) == loadsAtOnce(40, std::nullopt));
+}
+
 // Guards against replicas that are drained while others are missing, against lost answers, and against a service
 // without extra replicas that is ordered to drain any.
 TEST_CASE("extra replicas are ordered with the total and drained only while none is missing")
--- a/tests/scheduling/modelsharestest.cpp
+++ b/tests/scheduling/modelsharestest.cpp
@@ -94,6 +94,16 @@
     CHECK(meter.demand(at(51)).empty());
 }
 
+// Guards against replicas ordered for one large step.
+TEST_CASE("the items of a job are smoothed")
+{
+    DemandMeter meter;
+    for (const std::size_t items : {100, 100, 300}) {
+        meter.recordJob("m0", 4000, absl::Seconds(8), at(0), items);
+    }
+    CHECK(meter.demand(at(0)).at("m0").items == Approx(200));
+}
+
 // Guards against a model without replicas after its host was lost, and against a trainer that counts twice because its
 // former and its present host report it.
 TEST_CASE("the demand of a lost host counts for some seconds, and once")
