--- a/tests/control/plantest.cpp
+++ b/tests/control/plantest.cpp
@@ -298,19 +298,60 @@
     CHECK(parseScaleCounts(toJson(plan.desiredCounts())) == plan.desiredCounts());
 }
 
-// Guards against paid replacements for replicas that return when the evacuation of their zone ends.
-TEST_CASE("nothing is ordered for or in an evacuated zone")
+// Guards against loads that all slow down since replicas were ordered for demand: the weight store doesn't grow with
+// them.
+TEST_CASE("the limit on concurrent loads doesn't rise with extra replicas")
+{
+    const auto loadsAtOnce = [](int count, std::optional<std::size_t> sizedFor) {
+        WeightPlan plan;
+        const auto list = replicas(count, {"m0"});
+        plan.assign(pointers(list), {"m0"});
+        plan.onVersionPublished("m0", 3, at(0));
+        return plan.dueOrders(pointers(list), SwapMode::Truncate, at(0), sizedFor).size();
+    };
+    CHECK(loadsAtOnce(60, 45) == loadsAtOnce(45, std::nullopt));
+    CHECK(loadsAtOnce(40, 45) == loadsAtOnce(40, std::nullopt));
+}
+
+// Guards against replicas that are drained while others are missing, against lost answers, and against a service
+// without extra replicas that is ordered to drain any.
+TEST_CASE("extra replicas are ordered with the total and drained only while none is missing")
 {
     ScalePlan plan;
     plan.setDesiredCounts({{{"engine", "z1"}, 4}, {{"engine", "z2"}, 3}});
     const std::map<std::string, int> maxReplicas{{"engine", 8}};
-    const ScalePlan::Counts counts{{{"engine", "z2"}, 1}};
-    plan.onReply({"engine", "z2", 3}, DutyReply::Unavailable, at(0));
-    for (const double time : {0.0, 2.0, 4.0}) {
-        CHECK(plan.dueOrders(counts, maxReplicas, at(time), {"z1"}).empty());
+    const auto serving = [](int z1, int z2) {
+        return ScalePlan::Counts{{{"engine", "z1"}, z1}, {{"engine", "z2"}, z2}};
+    };
+    for (double now = 0; now < 20; now += 0.5) {
+        CHECK(plan.dueOrders(serving(4, 6), maxReplicas, at(now)).empty());
     }
-    CHECK(plan.dueOrders(counts, maxReplicas, at(5)).empty());
-    CHECK_FALSE(plan.dueOrders(counts, maxReplicas, at(7)).empty());
+    plan.setExtraCounts({{{"engine", "z1"}, 0}, {{"engine", "z2"}, 3}});
+    plan.dueOrders(serving(4, 3), maxReplicas, at(20));
+    auto orders = plan.dueOrders(serving(4, 3), maxReplicas, at(21));
+    REQUIRE(orders.size() == 1);
+    CHECK(orders[0].desired == 6);
+    plan.onReply(orders[0], DutyReply::Unknown, at(21.1));
+    orders = plan.dueOrders(serving(4, 3), maxReplicas, at(22.5));
+    REQUIRE(orders.size() == 1);
+    CHECK(orders[0].desired == 6);
+    // No capacity: extra replicas are not ordered elsewhere here, which is for the capacity plan.
+    plan.onReply(orders[0], DutyReply::Unavailable, at(22.6));
+    CHECK_FALSE(plan.hasCapacity({"engine", "z2"}, at(23)));
+    CHECK(plan.dueOrders(serving(4, 3), maxReplicas, at(24)).empty());
+    // z1 is reclaimed: z2 keeps its replicas until z1 is whole.
+    plan.setExtraCounts({{{"engine", "z1"}, 0}, {{"engine", "z2"}, 0}});
+    for (double now = 30; now < 40; now += 0.5) {
+        for (const ScaleOrder &order : plan.dueOrders(serving(0, 6), maxReplicas, at(now))) {
+            CHECK(order.availabilityZone == "z1");
+            CHECK(order.desired == 4);
+        }
+    }
+    CHECK(plan.dueOrders(serving(4, 6), maxReplicas, at(41)).empty());
+    orders = plan.dueOrders(serving(4, 6), maxReplicas, at(44.5));
+    REQUIRE(orders.size() == 1);
+    CHECK(orders[0].availabilityZone == "z2");
+    CHECK(orders[0].desired == 3);
 }
 
 TEST_CASE("requests are counted in the window in which they began")
@@ -326,3 +367,18 @@
     CHECK(counts.countsOf(window + 1).at("w") == 2);
     CHECK(counts.windowEnd(window) == base + absl::Seconds(5));
 }
+
+// Guards against paid replacements for replicas that return when the evacuation of their zone ends.
+TEST_CASE("nothing is ordered for or in an evacuated zone")
+{
+    ScalePlan plan;
+    plan.setDesiredCounts({{{"engine", "z1"}, 4}, {{"engine", "z2"}, 3}});
+    const std::map<std::string, int> maxReplicas{{"engine", 8}};
+    const ScalePlan::Counts counts{{{"engine", "z2"}, 1}};
+    plan.onReply({"engine", "z2", 3}, DutyReply::Unavailable, at(0));
+    for (const double time : {0.0, 2.0, 4.0}) {
+        CHECK(plan.dueOrders(counts, maxReplicas, at(time), {"z1"}).empty());
+    }
+    CHECK(plan.dueOrders(counts, maxReplicas, at(5)).empty());
+    CHECK_FALSE(plan.dueOrders(counts, maxReplicas, at(7)).empty());
+}
