--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -209,9 +209,9 @@
                                    [&](const serving::WeightedService &choice) { return choice.service == name; });
             });
         // Replicas of an evacuated zone keep their models and get no orders.
-        for (const WeightOrder &order :
-             weights_.dueOrders(outsideEvacuations(replicas), requiresSingleVersion ? SwapMode::Wait : SwapMode::Truncate,
-                                now, weightStoreReplicas(name))) {
+        for (const WeightOrder &order : weights_.dueOrders(outsideEvacuations(replicas),
+                                                           requiresSingleVersion ? SwapMode::Wait : SwapMode::Truncate,
+                                                           now, weightStoreReplicas(name))) {
             const auto holder = this->holder();
             serving::Replica *replica = context_.replicas.find(order.replica);
             if (!holder || replica == nullptr) {
--- a/src/control/scaleplan.cpp
+++ b/src/control/scaleplan.cpp
@@ -105,8 +105,7 @@
         for (const auto &[other, otherDesiredCount] : desiredCounts_) {
             const int desired = std::max(countIn(serving, other), totalOf(other)) + desiredCount - servingCount;
             if (other.first == serviceZone.first && other != serviceZone && !evacuatedZones.contains(other.second)
-                && hasCapacity(other, now)
-                && desired <= limit->second) {
+                && hasCapacity(other, now) && desired <= limit->second) {
                 if (extraCounts_.contains(other)) {
                     orderedCounts_[other] = desired;
                 }
