jobs, control: slower machines aren't slow spells, and replicas are ordered by demand only where it is set

Cause: gaps of 1.2 times the usual one counted as a slow spell. Change: a spell begins at 1.5 times the usual gap; the controller's setting orders no replicas beyond the stored counts by default.

--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -50,7 +50,10 @@
 struct ControllerSettings
 {
     UsageReporterSettings usage;
-    scheduling::CapacityPlanSettings capacity;
+    /// A maxMultiple of 1 orders no replicas beyond the stored counts. It is the default, since ordered replicas
+    /// brought further loads of weights, which delayed the steps of a service whose items found room in time without
+    /// them.
+    scheduling::CapacityPlanSettings capacity{.maxMultiple = 1};
     objects::MirrorSettings mirror; ///< For published weight versions and retirements.
     absl::Duration scalePeriod = absl::Milliseconds(500);
     /// Time from acquiring the lease to reading the desired replica counts. If none are stored, the counts of the
--- a/src/jobs/jobrunner.cpp
+++ b/src/jobs/jobrunner.cpp
@@ -17,9 +17,9 @@
 
 // Longer gaps are pauses, such as loading weights, and say nothing about the replica's speed.
 constexpr absl::Duration MaxMeasuredGap = absl::Milliseconds(500);
-// Gaps above that of the fast replicas by this factor belong to a slow spell. Gaps of sound replicas differ by an
-// eighth.
-constexpr double SpellGapFactor = 1.2;
+// Gaps above that of the fast replicas by this factor belong to a slow spell. The machines of a service differ in speed
+// by up to a third, for good, and moving items off the slower ones only fills the others.
+constexpr double SpellGapFactor = 1.5;
 constexpr absl::Duration FastGapTtl = absl::Milliseconds(100); // Computed from all replicas; too costly for each event.
 // Only items with at least this share of the events that the longest item of the job still makes are moved: the others
 // end earlier anyway. Hints are off by a factor of up to three.
