--- a/src/scheduling/capacityplan.cpp
+++ b/src/scheduling/capacityplan.cpp
@@ -16,7 +16,7 @@
     wanted_ = std::max(wanted_, base_);
     const double replicasForDemand =
         capacity.slotsPerReplica > 0 ? itemsWanted * settings_.slotsPerItem / capacity.slotsPerReplica : 0;
-    const bool exceeds = base_ > 0 && replicasForDemand >= base_ * settings_.minExcess;
+    const bool exceeds = settings_.maxMultiple > 1 && base_ > 0 && replicasForDemand >= base_ * settings_.minExcess;
     if (exceeds && !active_) {
         active_ = true;
         activeSince_ = now;
--- a/tests/scheduling/capacityplantest.cpp
+++ b/tests/scheduling/capacityplantest.cpp
@@ -43,6 +43,18 @@
     CHECK(burst.wanted() == 12);
 }
 
+// Guards against a plan that drains replicas although it may order none: a zone with an entry is ordered to drain.
+TEST_CASE("a plan that may order no replicas stays inactive")
+{
+    CapacityPlanSettings settings;
+    settings.maxMultiple = 1;
+    CapacityPlan off(settings);
+    run(off, threeZones(), 1000, 0, 60);
+    CHECK_FALSE(off.active());
+    CHECK(off.extraByZone().empty());
+    CHECK(off.wanted() == 12);
+}
+
 // Guards against a bill and loads of weights without bound, against zones beyond their limit, and against all further
 // replicas in one zone, which is lost at once.
 TEST_CASE("lasting demand is met up to the multiple and the limit of a zone, cheapest zones first")
