review: case 10, a removed replica is used longer after a watch was cut off

One watch that the store cuts off makes the registry count as unstable for 3 s, and a replica that is removed meanwhile is used for 2.2 s more. With a change of the registry just before, requests reach it up to 3.3 s after the removal was confirmed; 2.5 s are allowed. The harness learns to cut off watches, and takes ports below the kernel's own range.

--- a/review/harness-2/fleet.py
+++ b/review/harness-2/fleet.py
@@ -8,6 +8,8 @@
 import base64
 import json
 import os
+import random
+import shutil
 import signal
 import socket
 import sys
@@ -39,9 +41,15 @@
 
 
 def free_port(address):
-    with socket.socket() as probe:
-        probe.bind((address, 0))
-        return probe.getsockname()[1]
+    """A port below those that the kernel gives to outgoing connections."""
+    while True:
+        port = random.randrange(15000, 30000)
+        with socket.socket() as probe:
+            try:
+                probe.bind((address, port))
+                return port
+            except OSError:
+                pass
 
 
 # HTTP
@@ -158,7 +166,7 @@
         self.history = []
         self.changed = asyncio.Event()
         self.silent = False
-        self.on_write = lambda method, kind, name, status: None
+        self._watching = set()
 
     def put(self, kind, name, spec, status=None):
         """A write of an operator, a trainer or a replica."""
@@ -193,10 +201,13 @@
         kind, name = parts[0], parts[1] if len(parts) > 1 else None
         if request.method == "GET":
             if "watch" in request.query:
-                return await self._watch(kind, request)
+                self._watching.add(writer)
+                try:
+                    return await self._watch(kind, request)
+                finally:
+                    self._watching.discard(writer)
             return self._read(kind, name, request)
         status, value = self._write(request, kind, name, parts)
-        self.on_write(request.method, kind, name or (request.json() or {}).get("metadata", {}).get("name"), status)
         return json_response(status, value)
 
     def _read(self, kind, name, request):
@@ -208,6 +219,12 @@
         items = [known[key] for key in page]
         return json_response(200, {"items": items, "has_more": len(names) > len(page), "as_of": self.revision})
 
+    def cut_watches(self):
+        """Closes the connections on which a watch waits, without an answer."""
+        self.record(f"the store cuts off {len(self._watching)} waiting watches")
+        for writer in list(self._watching):
+            writer.close()
+
     async def _watch(self, kind, request):
         since = int(request.query["watch"])
         until = time.monotonic() + int(request.query.get("wait_ms", "0")) / 1000
@@ -291,6 +308,14 @@
             self._beat.cancel()
         await super().stop(reset)
 
+    def leave(self):
+        """No more entries come from this replica; it goes on serving."""
+        self._beat.cancel()
+
+    def report_now(self):
+        self.beats += 1
+        self.store.put("servers", self.id, self.entry())
+
     def entry(self):
         return {"service": self.service, "address": self.endpoint, "zone": self.zone, "version": "v1",
                 "slots": self.slots, "state": self.state, "cold_left_ms": 0, "seq": self.beats, "born": self.born}
@@ -530,7 +555,7 @@
     async def start_nodes(self):
         await asyncio.gather(*(node.start() for node in self.nodes))
         await self.wait_ready(self.nodes)
-        await asyncio.sleep(3)  # Contact between the nodes, and the lease.
+        await asyncio.sleep(4.5)  # Contact between the nodes, the lease, and contact_ms.
 
     async def wait_ready(self, nodes, limit=15):
         until = time.monotonic() + limit
@@ -553,7 +578,6 @@
             await server.stop()
         keep = os.environ.get("KEEP_LOGS")
         if keep:
-            import shutil
             shutil.copytree(self.folder, keep, dirs_exist_ok=True)
         self._temporary.cleanup()
 
