--- a/review/9/case.py
+++ b/review/9/case.py
@@ -17,7 +17,8 @@
 STATUS_S = 60  # Of the installation; half of the usual value, so that the case ends within its time.
 EVENT_S, EVENTS = 0.5, 126  # The item takes 63 s.
 SILENT_FROM_S, SILENT_FOR_S = 61.5, 4.5
-SETTLE_S = 1.0
+SETTLE_S, CONTACT_S = 1.0, 4.0
+IN_TOUCH_FROM_S = SILENT_FROM_S + SILENT_FOR_S + CONTACT_S  # The core is stable again.
 
 
 async def submit(fleet, record):
@@ -49,12 +50,13 @@
         if shown != last or answer.status != 200:
             record(f"client: reads j1 at {node.name}: {shown}")
         last = shown
-        if answer.status in (404, 410) and time.monotonic() - accepted_at > SETTLE_S:
+        age = time.monotonic() - accepted_at
+        if answer.status in (404, 410) and age > (IN_TOUCH_FROM_S if TROUBLE else SETTLE_S):
             lost += 1
         if results and listed_at is None:
             listed_at = time.monotonic()
         # The trainer trains for a second before it ends the batch job.
-        if listed_at is not None and lost == 0 and time.monotonic() - listed_at > 1.0:
+        if listed_at is not None and answer.status == 200 and time.monotonic() - listed_at > 1.0:
             break
         await asyncio.sleep(0.4)
     if listed_at is None and lost == 0:
--- a/review/harness-2/fleet.py
+++ b/review/harness-2/fleet.py
@@ -262,7 +262,7 @@
             return 200, {}
         elif len(parts) > 2:
             self.put(kind, name, known["spec"], body.get("status"))
-        else:
+        elif body.get("spec") != known["spec"]:
             self.put(kind, name, body.get("spec"), known["status"])
         return 200, self.objects[kind][name]
 
@@ -294,6 +294,7 @@
         self.record = record
         self.born = int(time.time() * 1000)
         self.state = "ready"
+        self.leaving = False
         self.running = 0
         self.beats = 0
         self.runs = []
@@ -309,7 +310,8 @@
         await super().stop(reset)
 
     def leave(self):
-        """No more entries come from this replica; it goes on serving."""
+        """No more entries come from this replica; it goes on serving, and its answers say that it leaves."""
+        self.leaving = True
         self._beat.cancel()
 
     def report_now(self):
@@ -331,8 +333,9 @@
             await asyncio.sleep(0.3)
 
     def stamp(self, request):
-        return [("X-Attempt-Id", request.headers.get("x-attempt-id", "")), ("X-Server-Stamp", f"{self.id}.{self.born}"),
-                ("X-Instance-Id", self.id)]
+        fields = [("X-Attempt-Id", request.headers.get("x-attempt-id", "")),
+                  ("X-Server-Stamp", f"{self.id}.{self.born}"), ("X-Instance-Id", self.id)]
+        return fields + ([("Server-Leaving", "1")] if self.leaving else [])
 
     async def handle(self, request, writer):
         expected = request.headers.get("x-expect-instance")
