jobs: an open job is kept until its trainer has ended it, however old it is

Cause: removeExpired() judged by age and by JobRunner::isOpen(), which says whether the runner has work. A job whose results are all stored, or whose node stops, has no open work, but its trainer hasn't ended it. A stopping node removed old jobs in the same way with items that had never run.

Change: JobRetention decides. A job is kept for status_s and while it is open; only the trainer's end closes it. An ended job stays 30 s at least, so that the end may be repeated after a lost answer. An open job without work counts as abandoned once no client has used it for 120 s (status_s if longer), which bounds what an absent trainer keeps. Texts of a lost job stay 10 s for the new owner, however old the job is.

Ruled out: the clocks (one node accepted and removed the job, its age was right), caches of records and logs at other nodes (they answered 404 only after the record had gone from the store) and the takeover.

--- a/src/jobs/jobcontext.h
+++ b/src/jobs/jobcontext.h
@@ -4,6 +4,7 @@
 
 #include "jobs/job.h"
 #include "jobs/jobplacement.h"
+#include "jobs/jobretention.h"
 #include "net/eventloop.h"
 #include "net/memorybudget.h"
 #include "objects/objectport.h"
@@ -73,7 +74,7 @@
     std::size_t maxAttemptBytes = 8 << 20;
     /// The time limit of an item is this much later than its route says, since the clocks of two nodes may differ.
     absl::Duration ttlMargin = absl::Seconds(5);
-    absl::Duration retention = absl::Seconds(120); ///< A job can be read for this time after its submission.
+    RetentionSettings retention;
     std::size_t maxPageBytes = 900'000; ///< Limit of the results in one response; the store and the clients allow 1 MB.
     std::size_t segmentBytes = 600'000; ///< A result segment is closed once its text reaches this size.
     std::size_t partBytes = 600'000; ///< An object of items is closed once it exceeds this size.
--- a/src/jobs/jobreading.cpp
+++ b/src/jobs/jobreading.cpp
@@ -51,7 +51,7 @@
             return;
         }
         CachedRecord &cached = cachedRecords_[jobId];
-        cached = {*record, reply.changes.front().object.revision, expiryTime(record->submittedMs)};
+        cached = {*record, reply.changes.front().object.revision, minimumRetention(record->submittedMs)};
         done(ReadOutcome::Found, &cached);
     });
 }
@@ -71,6 +71,7 @@
 
 void JobService::readOwned(OwnedJob &owned, std::uint64_t after, absl::Duration wait, PageCallback done)
 {
+    owned.retention.recordUse(net::loopNow());
     const ResultLog &log = owned.runner->log();
     if (after < log.size() || !owned.runner->isOpen() || wait <= absl::ZeroDuration()) {
         done(ReadOutcome::Found, log.page(after, owned.record.total, context_.settings.maxPageBytes));
@@ -79,6 +80,14 @@
     owned.pendingReads.push_back({after, net::loopNow() + wait, std::move(done)});
 }
 
+void JobService::onResultsStored(const std::string &jobId)
+{
+    if (const auto owned = owned_.find(jobId); owned != owned_.end()) {
+        owned->second->retention.recordUse(net::loopNow());
+    }
+    servePendingReads(jobId);
+}
+
 void JobService::servePendingReads(const std::string &jobId)
 {
     const auto found = owned_.find(jobId);
@@ -152,7 +161,7 @@
             done(ReadOutcome::Unavailable, {});
             return;
         }
-        cachedLogs_[record.id] = {*log, expiryTime(record.submittedMs)};
+        cachedLogs_[record.id] = {*log, minimumRetention(record.submittedMs)};
         done(ReadOutcome::Found, log->page(after, record.total, context_.settings.maxPageBytes));
     });
 }
@@ -196,6 +205,9 @@
     if (const auto owned = owned_.find(jobId); owned != owned_.end()) {
         const auto index = owned->second->runner->tracker().find(itemId);
         const bool found = owned->second->record.workspace == workspace && index.has_value();
+        if (found) {
+            owned->second->retention.recordUse(net::loopNow());
+        }
         done(found ? ReadOutcome::Found : ReadOutcome::NotFound,
              found ? owned->second->runner->tracker().items()[*index].spec.body : std::string());
         return;
--- a/src/jobs/jobservice.cpp
+++ b/src/jobs/jobservice.cpp
@@ -18,8 +18,6 @@
 
 namespace {
 
-constexpr absl::Duration MinTimeToExpiry = absl::Seconds(10);
-
 /// Outcome of submitting a job that was accepted before. Another workspace must not learn that the job exists.
 SubmitOutcome resubmissionOutcome(const JobSpec &spec, const JobRecord &accepted)
 {
@@ -52,10 +50,12 @@
     return record.owner == context_.node && record.ownerIncarnation == context_.incarnation;
 }
 
-Instant JobService::expiryTime(std::int64_t submittedMs) const
+Instant JobService::minimumRetention(std::int64_t submittedMs) const
 {
+    const RetentionSettings &settings = context_.settings.retention;
     const absl::Duration age = std::max(absl::ZeroDuration(), absl::Now() - absl::FromUnixMillis(submittedMs));
-    return net::loopNow() + std::max(MinTimeToExpiry, context_.settings.retention - age) + context_.settings.ttlMargin;
+    return net::loopNow() + std::max(settings.afterTakeover, settings.afterSubmission - age)
+        + context_.settings.ttlMargin;
 }
 
 // Submissions
@@ -68,6 +68,9 @@
 void JobService::submitAt(SubmitAt place, JobSpec spec, std::function<void(SubmitOutcome)> done)
 {
     if (const auto owned = owned_.find(spec.id); owned != owned_.end()) {
+        if (spec.workspace == owned->second->record.workspace) {
+            owned->second->retention.recordUse(net::loopNow());
+        }
         done(resubmissionOutcome(spec, owned->second->record));
         return;
     }
@@ -316,7 +319,7 @@
             finishSubmission(submission, SubmitOutcome::Unknown);
             return;
         }
-        cachedRecords_[record->id] = {*record, object.revision, expiryTime(record->submittedMs)};
+        cachedRecords_[record->id] = {*record, object.revision, minimumRetention(record->submittedMs)};
         const bool ownedHere = record->submission == submission->record.submission && isOwnedHere(*record);
         if (ownedHere && !record->ended && !released_) {
             addOwnedJob(*record, object.revision, takeItems(submission->spec), {}, pauses);
@@ -346,17 +349,14 @@
 void JobService::addOwnedJob(const JobRecord &record, std::uint64_t revision, JobSpec spec, ResultLog log,
                              int asOfPause)
 {
-    auto owned = std::make_unique<OwnedJob>();
-    owned->record = record;
-    owned->revision = revision;
-    owned->expiresAt = expiryTime(record.submittedMs);
-    owned->memory = memoryFor(spec);
+    auto owned = std::make_unique<OwnedJob>(
+        OwnedJob{record, revision, {}, memoryFor(spec), {}, {minimumRetention(record.submittedMs), net::loopNow()}});
     const serving::GatewayConfig *config = context_.config();
     const serving::Route *route = config == nullptr ? nullptr : config->findRoute(spec.host, spec.path);
     demand_.recordJob(spec.model, expectedWork(spec), route == nullptr ? absl::InfiniteDuration() : route->resultDue,
                       net::loopNow(), spec.items.size());
     owned->runner = std::make_shared<JobRunner>(context_, rewards_, std::move(spec), record.submittedMs, std::move(log),
-                                                JobRunner::Hooks{[this, id = record.id] { servePendingReads(id); },
+                                                JobRunner::Hooks{[this, id = record.id] { onResultsStored(id); },
                                                                  [this, id = record.id] { checkOwnership(id); }});
     loseOwnership(record.id);
     owned_[record.id] = std::move(owned);
@@ -423,6 +423,8 @@
             owned->runner->log().page(pendingRead.after, owned->record.total, context_.settings.maxPageBytes));
     }
     owned->pendingReads.clear();
+    // The new owner asks for the texts, however old the job is.
+    owned->retention.extendTo(net::loopNow() + context_.settings.retention.afterTakeover);
     formerlyOwned_[jobId] = std::move(owned);
 }
 
@@ -565,6 +567,7 @@
     ++pauses_;
     for (const auto &[id, owned] : owned_) {
         owned->runner->suspendSending();
+        owned->retention.recordUse(net::loopNow()); // Reads could not arrive during the pause.
     }
     checkOwnershipOfOpenJobs();
 }
@@ -598,20 +601,25 @@
 
 void JobService::removeExpired(Instant now)
 {
-    absl::erase_if(orphanedSince_,
-                   [this, now](const auto &entry) { return now - entry.second > context_.settings.retention; });
+    absl::erase_if(orphanedSince_, [this, now](const auto &entry) {
+        return now - entry.second > context_.settings.retention.afterSubmission;
+    });
     absl::erase_if(endedJobs_, [now](const auto &entry) { return entry.second <= now; });
     absl::erase_if(cachedRecords_, [now](const auto &entry) { return entry.second.expiresAt <= now; });
-    absl::erase_if(formerlyOwned_, [now](const auto &entry) { return entry.second->expiresAt <= now; });
+    absl::erase_if(formerlyOwned_, [now](const auto &entry) { return entry.second->retention.isPastMinimum(now); });
     absl::erase_if(cachedLogs_, [now](const auto &entry) { return entry.second.expiresAt <= now; });
     std::vector<std::string> expired;
     for (const auto &[id, owned] : owned_) {
-        if (owned->expiresAt <= now && !owned->runner->isOpen()) {
+        // The runner of a stopping node has no open work, but another node takes the job over.
+        const bool hasWork = !owned->record.ended && !owned->runner->isComplete();
+        if (owned->retention.isExpired(context_.settings.retention, hasWork, now)) {
             expired.push_back(id);
         }
     }
     for (const std::string &id : expired) {
         const OwnedJob &owned = *owned_[id];
+        telemetry::log(Level::Info, "job", "removed",
+                       {{"job", id}, {"ended", owned.record.ended}, {"results", owned.runner->log().size()}});
         const auto ignore = [](const StoreReply &) {};
         // The record is removed first: without it no node looks for the other objects.
         context_.store.remove(RecordKind, id, ignore);
--- a/src/jobs/jobservice.h
+++ b/src/jobs/jobservice.h
@@ -9,6 +9,7 @@
 
 #include "core/enumnames.h"
 #include "jobs/jobcontext.h"
+#include "jobs/jobretention.h"
 #include "jobs/jobrunner.h"
 #include "scheduling/modeldemand.h"
 
@@ -117,7 +118,7 @@
         std::shared_ptr<JobRunner> runner;
         net::MemoryShare memory; ///< For the bodies of the items.
         std::vector<PendingRead> pendingReads;
-        Instant expiresAt;
+        JobRetention retention;
     };
     /// Results of another node's job as read from the store.
     struct CachedLog
@@ -173,6 +174,7 @@
     void readRemote(const std::string &jobId, const std::string &workspace, std::uint64_t after, absl::Duration wait,
                     bool bypassCache, PageCallback done);
     void readFromStore(const JobRecord &record, std::uint64_t after, PageCallback done);
+    void onResultsStored(const std::string &jobId);
     void servePendingReads(const std::string &jobId);
     void readBodyFromStore(const JobRecord &record, const std::string &itemId, BodyCallback done);
     void loadParts(const JobRecord &record, std::function<void(bool, JobSpec)> done);
@@ -200,7 +202,8 @@
     void claim(const JobRecord &record, std::uint64_t revision, JobSpec spec, const std::shared_ptr<ResultLog> &log,
                const std::function<void()> &onFailure);
     void removeExpired(Instant now);
-    Instant expiryTime(std::int64_t submittedMs) const;
+    /// Time until which a job can be read in any case, by its age.
+    Instant minimumRetention(std::int64_t submittedMs) const;
     /// Returns true if this incarnation of the node owns the job.
     bool isOwnedHere(const JobRecord &record) const;
 
--- a/src/jobs/jobtakeover.cpp
+++ b/src/jobs/jobtakeover.cpp
@@ -141,8 +141,10 @@
 
 void JobService::markEnded(const std::string &jobId)
 {
-    endedJobs_[jobId] = net::loopNow() + context_.settings.retention;
+    const Instant now = net::loopNow();
+    endedJobs_[jobId] = now + context_.settings.retention.afterSubmission;
     if (const auto owned = owned_.find(jobId); owned != owned_.end()) {
+        owned->second->retention.recordEnd(now);
         owned->second->record.ended = true;
         owned->second->runner->stop("ended");
         servePendingReads(jobId);
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -181,7 +181,7 @@
     jobs::JobSettings jobSettings;
     jobSettings.processorShare = settings_.processorShare;
     jobSettings.region = settings_.region;
-    jobSettings.retention = settings_.jobRetention;
+    jobSettings.retention.afterSubmission = settings_.jobRetention;
     jobs_ = std::make_unique<jobs::JobService>(jobs::JobContext{
         loop, replicas_, binding_.replicas, relayedStore_.port(), peers, config,
         [this]() -> const std::map<std::string, std::string> & {
