jobs: only the current owner removes a job

What callers would see: a job that is read at its new owner vanishes, with answers 404, because a former owner that was cut off from its peers removes the record once the job has expired by its own view.

Cause: the record was removed without a condition, and its items and results at once, whatever the store answered. A decision on a record is to be written with the revision that it was made on.

Change: ObjectPort::remove() takes a revision. The owner removes the record on the revision that it knows, keeps the job until the store has confirmed that, and then removes items and results. The end that an owner stores itself updates its revision, so that no further call is needed for a job that ended as usual. Failed removals are logged.

--- a/src/jobs/jobservice.cpp
+++ b/src/jobs/jobservice.cpp
@@ -349,8 +349,8 @@
 void JobService::addOwnedJob(const JobRecord &record, std::uint64_t revision, JobSpec spec, ResultLog log,
                              int asOfPause)
 {
-    auto owned = std::make_unique<OwnedJob>(
-        OwnedJob{record, revision, {}, memoryFor(spec), {}, {minimumRetention(record.submittedMs), net::loopNow()}});
+    auto owned = std::make_unique<OwnedJob>(OwnedJob{
+        record, revision, {}, memoryFor(spec), {}, {minimumRetention(record.submittedMs), net::loopNow()}, {}});
     const serving::GatewayConfig *config = context_.config();
     const serving::Route *route = config == nullptr ? nullptr : config->findRoute(spec.host, spec.path);
     demand_.recordJob(spec.model, expectedWork(spec), route == nullptr ? absl::InfiniteDuration() : route->resultDue,
@@ -612,24 +612,58 @@
     for (const auto &[id, owned] : owned_) {
         // The runner of a stopping node has no open work, but another node takes the job over.
         const bool hasWork = !owned->record.ended && !owned->runner->isComplete();
-        if (owned->retention.isExpired(context_.settings.retention, hasWork, now)) {
+        if (now >= owned->nextRemoval && owned->retention.isExpired(context_.settings.retention, hasWork, now)) {
             expired.push_back(id);
         }
     }
     for (const std::string &id : expired) {
-        const OwnedJob &owned = *owned_[id];
+        removeRecord(id);
+    }
+}
+
+void JobService::removeRecord(const std::string &jobId)
+{
+    OwnedJob &owned = *owned_[jobId];
+    owned.nextRemoval = Instant(absl::InfiniteDuration());
+    // The record is removed first: without it no node looks for the other objects.
+    context_.store.remove(RecordKind, jobId, owned.revision,
+                          [this, jobId](const StoreReply &reply) { onRecordRemoved(jobId, reply); });
+}
+
+void JobService::onRecordRemoved(const std::string &jobId, const StoreReply &reply)
+{
+    const auto found = owned_.find(jobId);
+    if (found == owned_.end()) {
+        return; // The ownership was lost meanwhile.
+    }
+    OwnedJob &owned = *found->second;
+    if (reply.outcome == StoreOutcome::Done || reply.outcome == StoreOutcome::NotFound) {
         telemetry::log(Level::Info, "job", "removed",
-                       {{"job", id}, {"ended", owned.record.ended}, {"results", owned.runner->log().size()}});
-        const auto ignore = [](const StoreReply &) {};
-        // The record is removed first: without it no node looks for the other objects.
-        context_.store.remove(RecordKind, id, ignore);
-        for (std::uint64_t part = 0; part < owned.record.parts; ++part) {
-            context_.store.remove(PartKind, partName(id, part), ignore);
-        }
-        for (std::uint64_t segment = 0; segment < owned.runner->log().nextSegment(); ++segment) {
-            context_.store.remove(resultKind(id), segmentName(segment), ignore);
+                       {{"job", jobId}, {"ended", owned.record.ended}, {"results", owned.runner->log().size()}});
+        removeItemsAndResults(owned);
+        owned_.erase(found);
+        return;
+    }
+    owned.nextRemoval = net::loopNow() + context_.settings.removalRetryDelay;
+    telemetry::log(Level::Warning, "job", "not_removed", {{"job", jobId}, {"outcome", nameOf(reply.outcome)}});
+    if (reply.outcome == StoreOutcome::Conflict) {
+        checkOwnership(jobId);
+    }
+}
+
+void JobService::removeItemsAndResults(const OwnedJob &owned)
+{
+    const std::string &jobId = owned.record.id;
+    const auto logFailure = [jobId](const StoreReply &reply) {
+        if (reply.outcome != StoreOutcome::Done && reply.outcome != StoreOutcome::NotFound) {
+            telemetry::log(Level::Warning, "job", "objects_left", {{"job", jobId}, {"outcome", nameOf(reply.outcome)}});
         }
-        owned_.erase(id);
+    };
+    for (std::uint64_t part = 0; part < owned.record.parts; ++part) {
+        context_.store.remove(PartKind, partName(jobId, part), 0, logFailure);
+    }
+    for (std::uint64_t segment = 0; segment < owned.runner->log().nextSegment(); ++segment) {
+        context_.store.remove(resultKind(jobId), segmentName(segment), 0, logFailure);
     }
 }
 
--- a/src/jobs/jobservice.h
+++ b/src/jobs/jobservice.h
@@ -119,6 +119,7 @@
         net::MemoryShare memory; ///< For the bodies of the items.
         std::vector<PendingRead> pendingReads;
         JobRetention retention;
+        Instant nextRemoval; ///< The record isn't removed before this time. Infinite while a removal is in progress.
     };
     /// Results of another node's job as read from the store.
     struct CachedLog
@@ -183,6 +184,8 @@
     void loadLog(const std::string &jobId, const std::shared_ptr<ResultLog> &log, std::function<void(bool)> done);
 
     void storeEnd(const std::shared_ptr<EndRequest> &request, bool bypassCache);
+    /// Takes over the revision of the owned job's record from the reply to its replacement.
+    void recordRevision(const std::string &jobId, const objects::StoreReply &reply);
     void markEnded(const std::string &jobId);
     /// Detects ends and takeovers that were stored by a node which can't reach this one.
     void checkOwnershipOfOpenJobs();
@@ -202,6 +205,10 @@
     void claim(const JobRecord &record, std::uint64_t revision, JobSpec spec, const std::shared_ptr<ResultLog> &log,
                const std::function<void()> &onFailure);
     void removeExpired(Instant now);
+    /// Removes the record unless it has changed since this node last read it.
+    void removeRecord(const std::string &jobId);
+    void onRecordRemoved(const std::string &jobId, const objects::StoreReply &reply);
+    void removeItemsAndResults(const OwnedJob &owned);
     /// Time until which a job can be read in any case, by its age.
     Instant minimumRetention(std::int64_t submittedMs) const;
     /// Returns true if this incarnation of the node owns the job.
--- a/src/jobs/jobtakeover.cpp
+++ b/src/jobs/jobtakeover.cpp
@@ -113,7 +113,9 @@
                                [this, request, retry, ownedHere](const StoreReply &reply) {
                                    if (reply.outcome == StoreOutcome::Done) {
                                        markEnded(request->jobId);
-                                       if (!ownedHere) {
+                                       if (ownedHere) {
+                                           recordRevision(request->jobId, reply);
+                                       } else {
                                            notifyAllOfEnd(request->jobId);
                                        }
                                        request->done(ReadOutcome::Found);
@@ -139,6 +141,13 @@
     });
 }
 
+void JobService::recordRevision(const std::string &jobId, const StoreReply &reply)
+{
+    if (const auto owned = owned_.find(jobId); owned != owned_.end() && !reply.changes.empty()) {
+        owned->second->revision = std::max(owned->second->revision, reply.changes.front().object.revision);
+    }
+}
+
 void JobService::markEnded(const std::string &jobId)
 {
     const Instant now = net::loopNow();
--- a/src/node/nodestate.cpp
+++ b/src/node/nodestate.cpp
@@ -338,7 +338,7 @@
         lost[name] = found == lostNodes_.end() ? now : found->second;
         if (now - lost[name] > UnregisterAfter) {
             telemetry::log(Level::Info, "node", "forgotten", {{"node", name}});
-            binding_.store.remove(NodeKind, name, [](const StoreReply &) {});
+            binding_.store.remove(NodeKind, name, 0, [](const StoreReply &) {});
             lost[name] = now;
         }
     }
--- a/src/objects/meteredport.cpp
+++ b/src/objects/meteredport.cpp
@@ -65,7 +65,7 @@
     meter<std::string, std::string, Json>(port.create, {metrics, "create"});
     meter<std::string, std::string, std::uint64_t, Json>(port.replace, {metrics, "replace"});
     meter<std::string, std::string, std::uint64_t, Json>(port.replaceStatus, {metrics, "replace_status"});
-    meter<std::string, std::string>(port.remove, {metrics, "remove"});
+    meter<std::string, std::string, std::uint64_t>(port.remove, {metrics, "remove"});
     return port;
 }
 
--- a/src/objects/objectport.h
+++ b/src/objects/objectport.h
@@ -85,7 +85,8 @@
     std::function<void(std::string kind, std::string name, std::uint64_t revision, Json value, StoreCallback)> replace;
     std::function<void(std::string kind, std::string name, std::uint64_t revision, Json status, StoreCallback)>
         replaceStatus;
-    std::function<void(std::string kind, std::string name, StoreCallback)> remove;
+    /// Removes the object if it has this revision; revision 0 removes it unconditionally.
+    std::function<void(std::string kind, std::string name, std::uint64_t revision, StoreCallback)> remove;
 };
 
 } // namespace currantlug::objects
--- a/tests/fakes/inmemoryobjectstore.h
+++ b/tests/fakes/inmemoryobjectstore.h
@@ -120,11 +120,15 @@
                 return reply(Outcome::Done, {{kinds_[kind][name], false}});
             });
         };
-        port.remove = [this](const std::string &kind, const std::string &name, objects::StoreCallback done) {
-            perform("remove", kind, name, std::move(done), [this, kind, name] {
+        port.remove = [this](const std::string &kind, const std::string &name, std::uint64_t revision,
+                             objects::StoreCallback done) {
+            perform("remove", kind, name, std::move(done), [this, kind, name, revision] {
                 if (!has(kind, name)) {
                     return reply(Outcome::NotFound);
                 }
+                if (revision != 0 && kinds_[kind][name].revision != revision) {
+                    return reply(Outcome::Conflict, {{kinds_[kind][name], false}});
+                }
                 erase(kind, name);
                 return reply(Outcome::Done);
             });
--- a/tests/jobs/jobretentiontest.cpp
+++ b/tests/jobs/jobretentiontest.cpp
@@ -1,4 +1,4 @@
-// Tests how long jobs are kept: open ones, ended ones and abandoned ones.
+// Tests how long jobs are kept: open ones, ended ones, abandoned ones, and those that another node has taken over.
 #include "jobcluster.h"
 
 #include <catch2/catch.hpp>
@@ -23,6 +23,7 @@
     settings.retention.afterTakeover = absl::ZeroDuration();
     settings.retention.unused = unused;
     settings.ttlMargin = absl::ZeroDuration();
+    settings.removalRetryDelay = absl::Milliseconds(50);
     return settings;
 }
 
@@ -123,9 +124,33 @@
         runTicks(cluster, {"a", "b"}, std::chrono::milliseconds(100));
         REQUIRE(cluster.read("b", "job").first == ReadOutcome::Found);
     }
+    int refusals = 2;
+    cluster.store.setFault([&refusals](const std::string &op, const std::string &kind, const std::string &) {
+        return op == "remove" && kind == "jobs" && refusals-- > 0 ? StoreOutcome::Refused : StoreOutcome::Done;
+    });
     runTicks(cluster, {"a", "b"}, std::chrono::milliseconds(800));
+    CHECK(refusals < 0);
     CHECK(cluster.store.count("jobs") == 0);
     CHECK(cluster.store.count("job-items") == 0);
     CHECK(cluster.store.count("results-job") == 0);
     CHECK(cluster.read("a", "job").first == ReadOutcome::NotFound);
 }
+
+// Guards against the removal of a job by a former owner whose clients had all moved to the node that took it over.
+TEST_CASE("a former owner doesn't remove the job of the current owner")
+{
+    JobCluster cluster({"a", "b"});
+    cluster.settings = shortRetention(absl::Milliseconds(300));
+    cluster.start("a");
+    REQUIRE(cluster.submit("a", JobCluster::spec("job", 2)) == SubmitOutcome::Accepted);
+    REQUIRE(cluster.waitForResults("a", "job", 2));
+    cluster.partitions.insert({"a", "b"});
+    cluster.at("b").scanOrphanedJobs();
+    REQUIRE(cluster.waitForResults("b", "job", 2));
+    REQUIRE(runUntil(cluster.loop, [&cluster] { return cluster.store.value("jobs", "job")["owner"] == "b"; }));
+    for (int i = 0; i < 6; ++i) {
+        runTicks(cluster, {"a"}, std::chrono::milliseconds(100));
+        CHECK(cluster.read("b", "job").second.next == 2);
+    }
+    CHECK(cluster.store.has("jobs", "job"));
+}
