net, endpoints, platform: an answer with an impossible head is an error

Cause: the parsers check the form of a status, three digits, and not whether there is such a status. Beast reads a body in any coding but "chunked" up to the end of the connection. cpp-httplib also takes any text for a field's name.

Change: core/httpsyntax names the flaws of a status and of a field, in one place for all clients. ClientConnection checks each head before any handler sees it, for replicas, the store, peers and duty calls alike; in currantlugd ConnectionPool checks before the receivers get a byte, and platform::HttpClient before it returns. The call ends as "may have run", so callers get 502, or an attempt at another replica where the request may be repeated.

The raw server of tests/net/httptest.cpp moved to a header of its own, for both files; its tests are unchanged.

--- a/src/endpoints/connectionpool.cpp
+++ b/src/endpoints/connectionpool.cpp
@@ -1,6 +1,8 @@
 // Exchange of one request and answer under deadlines that a separate thread enforces by shutting the socket down.
 #include "endpoints/connectionpool.h"
 
+#include "platform/responseflaw.h"
+
 #include <absl/strings/numbers.h>
 #include <fmt/format.h>
 #include <poll.h>
@@ -221,6 +223,10 @@
     changed_.notify_all();
     const std::uint64_t hook = cancel == nullptr ? 0 : cancel->addHook([&connection] { connection.interrupt(); });
 
+    request.response_handler = [&exchange, handler = request.response_handler](const httplib::Response &head) {
+        exchange.flaw = platform::responseFlaw(head);
+        return exchange.flaw.empty() && (!handler || handler(head));
+    };
     httplib::Error error = httplib::Error::Success;
     const bool sent = connection.client().send(request, response, error);
 
@@ -231,7 +237,10 @@
         const std::lock_guard lock(mutex_);
         watched_.erase(id);
     }
-    exchange.complete = sent && error == httplib::Error::Success;
+    if (sent) {
+        exchange.flaw = platform::responseFlaw(response); // The handler isn't called for an answer without a body.
+    }
+    exchange.complete = sent && error == httplib::Error::Success && exchange.flaw.empty();
     exchange.cancelled = !exchange.complete && cancel != nullptr && cancel->cancelled();
     exchange.deadlineExceeded = !exchange.complete && watched.fired;
     exchange.error = error;
@@ -302,6 +311,9 @@
         return makeError(absl::StatusCode::kDeadlineExceeded, step, peer, exchange.outcome,
                          "endpoint made no progress within the deadline");
     }
+    if (!exchange.flaw.empty()) {
+        return makeError(absl::StatusCode::kDataLoss, step, peer, exchange.outcome, exchange.flaw);
+    }
     switch (exchange.error) {
     case httplib::Error::Connection:
         return makeError(absl::StatusCode::kUnavailable, step, peer, exchange.outcome, "connection failed");
--- a/src/endpoints/connectionpool.h
+++ b/src/endpoints/connectionpool.h
@@ -84,6 +84,7 @@
         bool cancelled = false;
         bool deadlineExceeded = false;
         httplib::Error error = httplib::Error::Unknown;
+        std::string_view flaw; ///< Why the head of the answer can't be used; empty if it can.
         Outcome outcome = Outcome::MayHaveRun;
     };
 
@@ -102,7 +103,8 @@
     /// sends. Errors: kInvalidArgument for an address that cannot be read.
     absl::StatusOr<std::unique_ptr<Connection>> take(std::string_view address, bool reuse = true);
 
-    /// Sends the request and reads the answer through the request's receivers.
+    /// Sends the request and reads the answer through the request's receivers. The receivers get no part of an answer
+    /// whose head can't be used.
     Exchange run(Connection &connection, httplib::Request &request, httplib::Response &response,
                  const CallDeadlines &deadlines, Progress &progress, CancelFlag *cancel);
 
--- a/src/jobs/job.cpp
+++ b/src/jobs/job.cpp
@@ -2,6 +2,7 @@
 #include "jobs/job.h"
 
 #include "core/hash.h"
+#include "core/httpsyntax.h"
 
 #include <absl/strings/escaping.h>
 #include <absl/strings/str_cat.h>
@@ -80,20 +81,19 @@
 
 std::string_view unsendablePart(const ItemSpec &item)
 {
-    if (!net::isFieldValue(item.id)) {
+    if (!isFieldValue(item.id)) {
         return "id";
     }
     if (!net::isRequestTarget(item.path)) {
         return "path";
     }
     const auto &fields = item.headers.fields();
-    if (!std::all_of(fields.begin(), fields.end(), [](const net::Header &field) {
-            return net::isToken(field.name) && net::isFieldValue(field.value);
-        })) {
+    if (!std::all_of(fields.begin(), fields.end(),
+                     [](const net::Header &field) { return isToken(field.name) && isFieldValue(field.value); })) {
         return "header field";
     }
     if (item.reward
-        && (!net::isFieldValue(item.reward->id) || !net::isFieldValue(item.reward->host)
+        && (!isFieldValue(item.reward->id) || !isFieldValue(item.reward->host)
             || !net::isRequestTarget(item.reward->path))) {
         return "reward call";
     }
--- a/src/net/clientconnection.cpp
+++ b/src/net/clientconnection.cpp
@@ -1,6 +1,8 @@
 // Connecting, sending one request at a time and reading its answer.
 #include "net/clientconnection.h"
 
+#include "core/httpsyntax.h"
+
 #include <absl/strings/numbers.h>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
@@ -189,6 +191,12 @@
             fail(absl::StatusCode::kDataLoss, Step::ReadAnswer, "body too long");
             return;
         }
+        if (parser_->is_header_done() && !headPassed_) {
+            if (const std::string_view flaw = headFlaw(); !flaw.empty()) {
+                fail(absl::StatusCode::kDataLoss, Step::ReadAnswer, flaw);
+                return;
+            }
+        }
         if (isInformational()) {
             if (parser_->is_done()) {
                 if (++informationalCount_ > MaxInformationalAnswers) {
@@ -220,7 +228,20 @@
 bool ClientConnection::isInformational() const
 {
     const unsigned status = parser_->is_header_done() ? parser_->get().result_int() : 0;
-    return status / 100 == 1 && status != 101;
+    return status / 100 == 1;
+}
+
+std::string_view ClientConnection::headFlaw() const
+{
+    const auto &message = parser_->get();
+    std::string_view flaw = responseStatusFlaw(static_cast<int>(message.result_int()));
+    for (const auto &field : message) {
+        if (flaw.empty()) {
+            flaw = responseFieldFlaw({field.name_string().data(), field.name_string().size()},
+                                     {field.value().data(), field.value().size()});
+        }
+    }
+    return flaw;
 }
 
 bool ClientConnection::passHead()
--- a/src/net/clientconnection.h
+++ b/src/net/clientconnection.h
@@ -9,6 +9,7 @@
 #include <boost/beast/http/string_body.hpp>
 
 #include <optional>
+#include <string_view>
 
 namespace currantlug::net::detail {
 
@@ -40,6 +41,8 @@
     void resetParser();
     /// True while the answer being read is informational; a final one follows it.
     bool isInformational() const;
+    /// Returns why the head that was read can't be that of an answer, or an empty text if it can.
+    std::string_view headFlaw() const;
     /// False if the handler gave the answer up.
     bool passHead();
     /// False if the body is too long.
--- a/src/net/httpmessage.cpp
+++ b/src/net/httpmessage.cpp
@@ -2,6 +2,7 @@
 #include "net/httpmessage.h"
 
 #include "core/error.h"
+#include "core/httpsyntax.h"
 
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_split.h>
@@ -76,19 +77,6 @@
 
 } // namespace
 
-bool isToken(std::string_view text)
-{
-    constexpr std::string_view Marks = "!#$%&'*+-.^_`|~";
-    return !text.empty() && std::all_of(text.begin(), text.end(), [Marks](char c) {
-        return std::isalnum(static_cast<unsigned char>(c)) != 0 || Marks.find(c) != std::string_view::npos;
-    });
-}
-
-bool isFieldValue(std::string_view text)
-{
-    return std::none_of(text.begin(), text.end(), [](char c) { return isControl(c) && c != '\t'; });
-}
-
 bool isRequestTarget(std::string_view text)
 {
     return !text.empty() && text.front() == '/'
--- a/src/net/httpmessage.h
+++ b/src/net/httpmessage.h
@@ -64,10 +64,6 @@
     std::string body;
 };
 
-/// True for a method or the name of a field (RFC 9110, "token").
-bool isToken(std::string_view text);
-/// True for the value of a field: visible characters, spaces, tabs and bytes above 0x7F. The empty value is one.
-bool isFieldValue(std::string_view text);
 /// True for a path with an optional query that can be sent as it is: it starts with a slash and has no spaces and no
 /// control characters.
 bool isRequestTarget(std::string_view text);
--- a/src/platform/httpclient.cpp
+++ b/src/platform/httpclient.cpp
@@ -1,6 +1,7 @@
 #include "platform/httpclient.h"
 
 #include "core/instant.h"
+#include "platform/responseflaw.h"
 #include "platform/socketstream.h"
 
 #include <absl/strings/numbers.h>
@@ -211,6 +212,10 @@
         return makeError(absl::StatusCode::kUnavailable, step, peer_, outcome,
                          fmt::format("{} {}: {}", call.method, call.target, connection->failure()));
     }
+    if (const std::string_view flaw = responseFlaw(response); !flaw.empty()) {
+        return makeError(absl::StatusCode::kUnavailable, step, peer_, Outcome::MayHaveRun,
+                         fmt::format("{} {}: {}", call.method, call.target, flaw));
+    }
     HttpAnswer answer{response.status, std::move(response.body)};
     if (check && !check(answer)) {
         return makeError(absl::StatusCode::kUnavailable, step, peer_, Outcome::MayHaveRun,
--- a/tests/endpoints/clienttest.cpp
+++ b/tests/endpoints/clienttest.cpp
@@ -268,6 +268,31 @@
     }
 }
 
+// Guards against answers that are none: cpp-httplib takes any three digits for a status, and any text for a name.
+TEST_CASE("an answer with an impossible status or field is an error", "[endpoints]")
+{
+    const std::string answer = GENERATE("HTTP/1.1 000 Trouble\r\nContent-Length: 4\r\n\r\nbody",
+                                        "HTTP/1.1 999 Trouble\r\nContent-Length: 4\r\n\r\nbody",
+                                        "HTTP/1.1 101 Trouble\r\nContent-Length: 4\r\n\r\nbody",
+                                        "HTTP/1.1 200 OK\r\nX Field: 1\r\nContent-Length: 4\r\n\r\nbody",
+                                        "HTTP/1.1 200 OK\r\nContent-Length : 2\r\nContent-Length: 4\r\n\r\nbody");
+    CAPTURE(answer);
+    fakes::RawServer server(answer, true);
+    ConnectionPool pool;
+    for (const char *method : {"GET", "HEAD"}) {
+        const auto served = ServiceClient(pool).call({server.address(), method, "/", {}, "", "r1", {}});
+        REQUIRE_FALSE(served.ok());
+        CHECK(served.status().code() == absl::StatusCode::kDataLoss);
+        CHECK(errorContext(served.status()).outcome == Outcome::MayHaveRun);
+    }
+    EngineRequest generation;
+    generation.address = server.address();
+    generation.requestId = "r1";
+    generation.maxTokens = 1;
+    CHECK(EngineClient(pool).complete(generation, {}, nullptr).status().code() == absl::StatusCode::kDataLoss);
+    CHECK(pool.idleCount(server.address()) == 0);
+}
+
 TEST_CASE("refusals of an engine keep their meaning", "[endpoints]")
 {
     fakes::LocalServer server([](httplib::Server &http) {
--- a/tests/net/httptest.cpp
+++ b/tests/net/httptest.cpp
@@ -4,7 +4,7 @@
 #include "net/httpserver.h"
 #include "net/listenergroup.h"
 
-#include "fakes/runloop.h"
+#include "rawserver.h"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/address.hpp>
@@ -20,79 +20,6 @@
 using namespace currantlug::tests;
 using boost::asio::ip::tcp;
 
-namespace {
-
-const Endpoint AnyPort(boost::asio::ip::address_v4::loopback(), 0);
-
-std::string peerOf(unsigned short port)
-{
-    return "127.0.0.1:" + std::to_string(port);
-}
-
-HttpRequest request(const std::string &target, const std::string &body = {})
-{
-    HttpRequest request;
-    request.method = body.empty() ? "GET" : "POST";
-    request.target = target;
-    request.headers.add("Host", "h");
-    request.body = body;
-    return request;
-}
-
-absl::StatusOr<HttpResponse> ask(Loop &loop, HttpClient &client, const std::string &peer, const HttpRequest &message,
-                                 ClientLimits limits = {})
-{
-    std::optional<absl::StatusOr<HttpResponse>> result;
-    ClientHandlers handlers;
-    handlers.onDone = [&result](absl::StatusOr<HttpResponse> response) { result = std::move(response); };
-    client.call(peer, message, limits, std::move(handlers));
-    REQUIRE(runUntil(loop, [&result] { return result.has_value(); }));
-    return *result;
-}
-
-/// Answers each connection with fixed bytes and then closes it, or keeps it open.
-class RawServer
-{
-public:
-    RawServer(Loop &loop, std::string answer, bool close)
-        : acceptor_(loop, AnyPort)
-        , answer_(std::move(answer))
-        , close_(close)
-    {
-        accept();
-    }
-    unsigned short port() const { return acceptor_.local_endpoint().port(); }
-    int connections = 0;
-
-private:
-    void accept()
-    {
-        acceptor_.async_accept([this](const boost::system::error_code &error, tcp::socket socket) {
-            if (error) {
-                return;
-            }
-            ++connections;
-            auto held = std::make_shared<tcp::socket>(std::move(socket));
-            auto buffer = std::make_shared<std::array<char, 4096>>();
-            held->async_read_some(boost::asio::buffer(*buffer),
-                                  [this, held, buffer](const boost::system::error_code &, std::size_t) {
-                                      boost::asio::write(*held, boost::asio::buffer(answer_));
-                                      if (!close_) {
-                                          kept_.push_back(held);
-                                      }
-                                  });
-            accept();
-        });
-    }
-
-    tcp::acceptor acceptor_;
-    std::string answer_;
-    bool close_;
-    std::vector<std::shared_ptr<tcp::socket>> kept_;
-};
-
-} // namespace
-
 TEST_CASE("requests share a kept connection and bodies arrive whole")
 {
     Loop loop;
@@ -139,7 +66,7 @@
 {
     Loop loop;
     RawServer server(loop, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\naHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nb",
-                     false);
+                     AfterAnswer::Keep);
     HttpClient client(loop);
     CHECK(ask(loop, client, peerOf(server.port()), request("/1"))->body == "a");
     CHECK(ask(loop, client, peerOf(server.port()), request("/2"))->body == "a");
@@ -151,7 +78,7 @@
 {
     Loop loop;
     HttpClient client(loop);
-    RawServer cut(loop, "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc", true);
+    RawServer cut(loop, "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc", AfterAnswer::Close);
     const auto short1 = ask(loop, client, peerOf(cut.port()), request("/"));
     REQUIRE_FALSE(short1.ok());
     CHECK(errorContext(short1.status()).outcome == Outcome::MayHaveRun);
@@ -170,7 +97,7 @@
 TEST_CASE("a silent peer ends with the time limit")
 {
     Loop loop;
-    RawServer silent(loop, "", false);
+    RawServer silent(loop, "", AfterAnswer::Keep);
     HttpClient client(loop);
     ClientLimits limits;
     limits.total = absl::Milliseconds(50);
@@ -182,7 +109,7 @@
 TEST_CASE("an answer may end with its connection")
 {
     Loop loop;
-    RawServer server(loop, "HTTP/1.1 200 OK\r\n\r\nall of it", true);
+    RawServer server(loop, "HTTP/1.1 200 OK\r\n\r\nall of it", AfterAnswer::Close);
     HttpClient client(loop);
     CHECK(ask(loop, client, peerOf(server.port()), request("/"))->body == "all of it");
 }
@@ -308,7 +235,7 @@
 {
     Loop loop;
     HttpClient client(loop);
-    RawServer server(loop, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", true);
+    RawServer server(loop, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", AfterAnswer::Close);
     const auto refused = ask(loop, client, peerOf(server.port()), request("/a b"));
     REQUIRE_FALSE(refused.ok());
     CHECK(refused.status().code() == absl::StatusCode::kInvalidArgument);
