net: a body without a length proves nothing before the request was sent

Cause: the failed write takes the socket's error (ECONNRESET), and the next read reports an end of the stream, which completes a body without a length. A trace on plain sockets shows it: with a write pending, send() fails with "Connection reset by peer" and recv() returns the bytes and then 0; without one, recv() itself reports the reset. So neither the parser nor the order of callbacks is at fault, and a close of the peer after a FIN looks the same.

Change: the end of the connection completes such a body only once the request was written without an error and the peer has acknowledged all of it (SIOCOUTQ). An early answer with a length or in chunks is complete as before. A peer that half-closes after an early answer without a length gets the same treatment: what it has sent can't be told from a part.

--- a/src/net/clientconnection.cpp
+++ b/src/net/clientconnection.cpp
@@ -6,6 +6,8 @@
 #include <absl/strings/numbers.h>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 
 #include <algorithm>
 #include <array>
@@ -127,8 +129,8 @@
                              [self = shared_from_this()](const boost::system::error_code &error, std::size_t) {
                                  std::string().swap(self->outputBody_);
                                  // A peer may answer before it has read a long body and then close: the answer is read
-                                 // all the same, and a failed read reports the error. After a failure the request
-                                 // stays incomplete, so the connection isn't used again.
+                                 // all the same. After a failure the request stays incomplete, so the connection isn't
+                                 // used again.
                                  self->writing_ = static_cast<bool>(error);
                              });
     read();
@@ -218,6 +220,12 @@
         return;
     }
     if (endOfStream && parser_->is_header_done() && !parser_->is_done()) {
+        // The end of the connection ends a body that states no length. It proves nothing while the request is on its
+        // way: a write that fails takes the socket's error, and the next read then reports an end instead of a reset.
+        if (!isRequestDelivered()) {
+            fail(absl::StatusCode::kDataLoss, Step::ReadAnswer, "connection ended before the request was sent");
+            return;
+        }
         parser_->put_eof(error);
     }
     if (parser_->is_done()) {
@@ -244,6 +252,12 @@
     return flaw;
 }
 
+bool ClientConnection::isRequestDelivered()
+{
+    int unacknowledged = 0;
+    return !writing_ && ioctl(socket_.native_handle(), SIOCOUTQ, &unacknowledged) == 0 && unacknowledged == 0;
+}
+
 bool ClientConnection::passHead()
 {
     if (headPassed_) {
--- a/src/net/clientconnection.h
+++ b/src/net/clientconnection.h
@@ -47,6 +47,8 @@
     bool passHead();
     /// False if the body is too long.
     bool passBody();
+    /// True once the peer has acknowledged all bytes of the request.
+    bool isRequestDelivered();
     void countCollected(std::uint64_t bytes);
     void complete();
     void fail(absl::StatusCode code, Step step, std::string_view message);
--- a/tests/net/answertest.cpp
+++ b/tests/net/answertest.cpp
@@ -1,4 +1,4 @@
-// Tests of bytes that are no answer in the place of an answer.
+// Tests of bytes that are no answer, or only a part of one, in the place of an answer.
 #include "rawserver.h"
 
 #include "core/error.h"
@@ -101,3 +101,37 @@
         CHECK_FALSE(ask(loop, client, peerOf(server.port()), request("/")).ok());
     }
 }
+
+// Guards against a part of an answer that is taken for the whole of it: the peer answered without a length before it
+// had read the request, and reset the connection. The failed write took the socket's error, and the read saw an end.
+TEST_CASE("an answer without a length isn't complete if its connection ends before the request was sent")
+{
+    const auto after = GENERATE(AfterAnswer::Reset, AfterAnswer::Close, AfterAnswer::HalfClose);
+    const auto delay = GENERATE(absl::ZeroDuration(), absl::Milliseconds(50), absl::Milliseconds(300));
+    // From a body that the buffers of the two sockets hold to one that they don't.
+    const std::size_t bodyBytes = GENERATE(std::size_t{1} << 20, std::size_t{6} << 20, std::size_t{24} << 20);
+    const std::string line = GENERATE("HTTP/1.1 200 OK", "HTTP/1.0 200 OK", "HTTP/1.1 413 Too Large");
+    CAPTURE(static_cast<int>(after), absl::ToInt64Milliseconds(delay), bodyBytes, line);
+    Loop loop;
+    RawServer server(loop, line + "\r\n\r\nfirst", after);
+    server.delay = delay;
+    HttpClient client(loop);
+    const auto answer = ask(loop, client, peerOf(server.port()), request("/", std::string(bodyBytes, 'x')));
+    REQUIRE_FALSE(answer.ok());
+    CHECK(errorContext(answer.status()).outcome == Outcome::MayHaveRun);
+}
+
+// Guards against refusals that are lost: a peer may answer before it has read the body, and its answer shows its end.
+TEST_CASE("an early answer with a length or in chunks is complete before the request was sent")
+{
+    const std::string answer =
+        GENERATE("HTTP/1.1 413 Too Large\r\nContent-Length: 4\r\n\r\nbody",
+                 "HTTP/1.1 413 Too Large\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n");
+    Loop loop;
+    RawServer server(loop, answer, AfterAnswer::HalfClose);
+    HttpClient client(loop);
+    const auto result = ask(loop, client, peerOf(server.port()), request("/", std::string(24 << 20, 'x')));
+    REQUIRE(result.ok());
+    CHECK(result->status == 413);
+    CHECK(result->body == "body");
+}
