platform: a store's answer that was cut says nothing

A successful answer of the store whose body could not be read counted as done, with no objects. A mirror would have dropped all objects of the kind, and a node that takes a job over would have gone on without its stored results. An answer without a length that ends with its connection can be such a part.

Change: each store call names the content that its answer must have (an object, a page, changes, none).

--- a/tests/adapter/codectest.cpp
+++ b/tests/adapter/codectest.cpp
@@ -449,6 +449,30 @@
     CHECK(decodeStoreReply(200, "{cut").changes.empty());
 }
 
+// Guards against an answer that was cut on the way and says that nothing is stored: a mirror would drop all objects of
+// its kind, and a node that takes a job over would miss its results.
+TEST_CASE("a store answer that can't be read says nothing")
+{
+    using objects::StoreOutcome;
+    const std::string list =
+        R"({"items":[{"metadata":{"name":"n","revision":5},"spec":{}}],"has_more":false,"as_of":8})";
+    for (std::size_t bytes = 0; bytes < list.size(); ++bytes) {
+        CAPTURE(bytes);
+        CHECK(decodeStoreReply(200, list.substr(0, bytes), StoreReplyContent::Page).outcome == StoreOutcome::Unknown);
+    }
+    CHECK(decodeStoreReply(200, list, StoreReplyContent::Page).outcome == StoreOutcome::Done);
+    for (const char *other : {"{}", "[]", "null", R"({"items":{}})", R"({"items":3})"}) {
+        CAPTURE(other);
+        CHECK(decodeStoreReply(200, other, StoreReplyContent::Page).outcome == StoreOutcome::Unknown);
+        CHECK(decodeStoreReply(200, other, StoreReplyContent::Changes).outcome == StoreOutcome::Unknown);
+        CHECK(decodeStoreReply(200, other, StoreReplyContent::Object).outcome == StoreOutcome::Unknown);
+    }
+    CHECK(decodeStoreReply(200, R"({"events":[],"as_of":9})", StoreReplyContent::Changes).outcome
+          == StoreOutcome::Done);
+    CHECK(decodeStoreReply(204, "", StoreReplyContent::None).outcome == StoreOutcome::Done);
+    CHECK(decodeStoreReply(404, "{cut", StoreReplyContent::Page).outcome == StoreOutcome::NotFound);
+}
+
 TEST_CASE("reports, versions and retirements are decoded")
 {
     const auto report =
