node: a stopping process waits for answers that clients still read

Cause: GracefulStop waits for open calls, and a call ends as soon as its answer is queued whole. Bytes that the client hasn't taken yet go with the process; the kernel delivers only what it had taken before.

A client that doesn't read costs a stop the rest of its grace period and nothing else.

Evidence: "a stopping node waits for answers that clients still read, but exits within the grace period" fails without the change in both variants (the process was done before the client had read) and passes with it.

--- a/src/node/gracefulstop.cpp
+++ b/src/node/gracefulstop.cpp
@@ -48,11 +48,15 @@
 
 void GracefulStop::awaitDrained()
 {
-    if (front_.openCalls() > 0 && net::loopNow() < exitDeadline_) {
+    // An answer that is complete here may still wait for a client that reads slowly. The kernel delivers only what it
+    // has taken before the exit.
+    const bool busy = front_.openCalls() > 0 || front_.unsentBytes() > 0;
+    if (busy && net::loopNow() < exitDeadline_) {
         net::runAfter(loop_, DrainPollInterval, [this] { awaitDrained(); });
         return;
     }
-    telemetry::log(Level::Info, "node", "stopped", {{"open_calls", front_.openCalls()}});
+    telemetry::log(Level::Info, "node", "stopped",
+                   {{"open_calls", front_.openCalls()}, {"unsent_bytes", front_.unsentBytes()}});
     node_.handOverCounts([this] {
         // Leaves time for answers that are written but not yet sent to the clients.
         net::runAfter(loop_, DrainPollInterval, done_);
--- a/src/node/gracefulstop.h
+++ b/src/node/gracefulstop.h
@@ -1,5 +1,6 @@
 // Graceful stop of a node. The node is no longer listed in answers to address queries, so that clients turn to other
-// nodes. It lets open requests finish within the grace period and then hands its usage counts over to a peer.
+// nodes. It lets open requests finish and their answers leave within the grace period, and then hands its usage counts
+// over to a peer.
 #ifndef CURRANTLUG_NODE_GRACEFULSTOP_H
 #define CURRANTLUG_NODE_GRACEFULSTOP_H
 
--- a/tests/node/nodetest.cpp
+++ b/tests/node/nodetest.cpp
@@ -5,9 +5,12 @@
 #include "fakes/inmemoryobjectstore.h"
 #include "fakes/runloop.h"
 
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
 #include <chrono>
+#include <optional>
 #include <thread>
 
 using namespace currantlug;
@@ -321,6 +324,39 @@
     CHECK(status == (answered ? 200 : 0));
 }
 
+// Guards against an answer that is cut by a planned stop: it was queued whole, so its request no longer counted as
+// open, and the process ended while the client still read it.
+TEST_CASE("a stopping node waits for answers that clients still read, but exits within the grace period")
+{
+    const bool clientReads = GENERATE(true, false);
+    CAPTURE(clientReads);
+    NodeFixture fixture;
+    REQUIRE(runUntil(fixture.loop, [&fixture] { return fixture.node.ready(); }));
+    const std::string body(16 << 20, 'x'); // More than the buffers of the two sockets hold.
+    net::HttpServer front(fixture.loop, [&body](const net::ServerCallPtr &call) { call->respond(200, {}, body); });
+    REQUIRE(front.listen(net::Endpoint(boost::asio::ip::address_v4::loopback(), 0)).ok());
+    boost::asio::ip::tcp::socket client(fixture.loop);
+    client.connect(net::Endpoint(boost::asio::ip::address_v4::loopback(), front.port()));
+    boost::asio::write(client, boost::asio::buffer(std::string("GET / HTTP/1.1\r\nHost: shop\r\n\r\n")));
+    REQUIRE(runUntil(fixture.loop, [&front] { return front.unsentBytes() > 0; }));
+
+    constexpr absl::Duration Grace = absl::Seconds(3);
+    node::GracefulStop stop(fixture.loop, fixture.node, front, Grace);
+    std::optional<std::uint64_t> unsentAtExit;
+    const Instant begun = net::loopNow();
+    stop.begin([&] { unsentAtExit = front.unsentBytes(); });
+    runFor(fixture.loop, std::chrono::milliseconds(1700)); // Until after the last new connection was accepted.
+    CHECK_FALSE(unsentAtExit.has_value());
+    std::string received(2 * body.size(), '\0');
+    if (clientReads) {
+        boost::asio::async_read(client, boost::asio::buffer(received),
+                                [](const boost::system::error_code &, std::size_t) {});
+    }
+    REQUIRE(runUntil(fixture.loop, [&unsentAtExit] { return unsentAtExit.has_value(); }));
+    CHECK(net::loopNow() - begun < Grace);
+    CHECK((*unsentAtExit == 0) == clientReads);
+}
+
 // Guards against a final denial before the first configuration is known.
 TEST_CASE("a node without a configuration asks clients to retry")
 {
