--- a/src/jobs/jobcontext.h
+++ b/src/jobs/jobcontext.h
@@ -75,7 +75,7 @@
     /// The time limit of an item is this much later than its route says, since the clocks of two nodes may differ.
     absl::Duration ttlMargin = absl::Seconds(5);
     RetentionSettings retention;
-    absl::Duration removalRetryDelay = absl::Seconds(2); ///< After a removal of a job whose outcome isn't known.
+    absl::Duration removalRetryDelay = absl::Seconds(10); ///< After a removal of a job whose outcome isn't known.
     std::size_t maxPageBytes = 900'000; ///< Limit of the results in one response; the store and the clients allow 1 MB.
     std::size_t segmentBytes = 600'000; ///< A result segment is closed once its text reaches this size.
     std::size_t partBytes = 600'000; ///< An object of items is closed once it exceeds this size.
