--- a/src/net/clientconnection.cpp
+++ b/src/net/clientconnection.cpp
@@ -254,8 +254,12 @@
 
 bool ClientConnection::isRequestDelivered()
 {
+    if (writing_) {
+        return false;
+    }
     int unacknowledged = 0;
-    return !writing_ && ioctl(socket_.native_handle(), SIOCOUTQ, &unacknowledged) == 0 && unacknowledged == 0;
+    const bool known = ioctl(socket_.native_handle(), SIOCOUTQ, &unacknowledged) == 0;
+    return !known || unacknowledged == 0;
 }
 
 bool ClientConnection::passHead()
--- a/src/net/clientconnection.h
+++ b/src/net/clientconnection.h
@@ -47,7 +47,8 @@
     bool passHead();
     /// False if the body is too long.
     bool passBody();
-    /// True once the peer has acknowledged all bytes of the request.
+    /// True once the request was written and the peer has acknowledged all of its bytes. Where the system doesn't tell
+    /// that, the write alone decides.
     bool isRequestDelivered();
     void countCollected(std::uint64_t bytes);
     void complete();
