--- a/review/harness-3/world.py
+++ b/review/harness-3/world.py
@@ -43,6 +43,7 @@
 class Request:
     def __init__(self, method, target, headers, body):
         self.method, self.target, self.headers, self.body = method, target, headers, body
+        self.reader = None  # Of the connection, for what becomes of it later.
         self.path, _, query = target.partition('?')
         self.query = dict(part.partition('=')[::2] for part in query.split('&') if part)
 
@@ -147,6 +148,7 @@
         self.events = []
         self.changed = asyncio.Event()
         self.calls = 0
+        self.silent = False  # Calls are accepted and never answered.
         self.loses = None  # Decides whether a write gets no answer; returns the seconds after which it is done, or None.
 
     def note(self, kind, item, removed):
@@ -175,6 +177,8 @@
 
     async def handle(self, request, writer):
         self.calls += 1
+        if self.silent:
+            await asyncio.sleep(3600)
         await asyncio.sleep(0.004)
         parts = request.path.split('/')[3:]
         kind = parts[0]
@@ -467,6 +471,7 @@
         self.tasks = []
         self.nodes = []
         self.replicas = []
+        self.gone = []  # Silent listeners in the place of machines that are gone.
         self.store = Store(self.next_host(), self.port)
         self.duties = Duties(self.next_host(), self.port, self.record)
 
@@ -527,7 +532,7 @@
                 node.process.send_signal(signal.SIGCONT)
                 node.process.kill()
                 await node.process.wait()
-        for server in [self.store.server, self.duties.server] + [replica.server for replica in self.replicas]:
+        for server in [self.store.server, self.duties.server] + self.gone + [replica.server for replica in self.replicas]:
             await server.stop()
 
     def config(self, version, routes, services, limits=None):
