--- a/review/11/scenario.py
+++ b/review/11/scenario.py
@@ -9,7 +9,7 @@
 
 RESTART_S = 0.3
 SILENT_AFTER_START_S = 3.3  # The store is silent for 4 s in all.
-STEP_S = 60  # The trainer waits this long for the step.
+STEP_S = 30  # The trainer waits this long for the step.
 EVENTS, GAP = 60, 0.1
 JOB, ITEMS = 'job0000000000001', ['item%012d' % n for n in range(16)]
 
@@ -35,8 +35,7 @@
     for name in ('i-aa', 'i-bb', 'i-cc', 'i-dd'):
         world.add_replica(name, 'advice', run, models={MODEL: 1})
     world.add_nodes(8)
-    route = rollout_route('advice', result_due_ms=30000, queue_ttl_s=300.0)
-    await world.start(world.config(1, [route], [model_service('advice')]))
+    await world.start(world.config(1, [rollout_route('advice')], [model_service('advice')]))
     status = await submit(world.nodes[0].at(5), JOB, job_body(ITEMS))
     accepted = time.monotonic()
     world.record.add('job %s: %d' % (JOB, status))
