--- a/review/11/scenario.py
+++ b/review/11/scenario.py
@@ -1,4 +1,4 @@
-"""A crowd of clients submits batch jobs of legal size; what becomes of the nodes' memory."""
+"""A batch job of which a part is given up; the node that runs it is stopped as planned. Can the job still be read?"""
 import asyncio
 import os
 import signal
@@ -7,107 +7,113 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), '..', 'harness-3'))
 from world import *  # noqa: E402,F403
 
-MEMORY_MB = 110
-CLIENTS, CROWD_S, PAUSE_S = 8, 40, 1
-ITEMS = 2000 if TROUBLE else 64  # In one job. A step of the sheet has 48 to 64 items.
-AFTER_S = 40  # The nodes are watched for this long after the crowd has gone.
-TRIES = 3
-END_S, END_TRIES = 12, 20  # A trainer ends its job at its time limit.
+JOB, GROUPS, SIZE = 'job0000000000001', 150, 8
+ITEMS = ['item%012d' % n for n in range(GROUPS * SIZE)]
+EVENTS, EVENT_BYTES = 18, 350  # As the sheet's `advice-short`.
+SLOWEST, FASTEST = 1.0, 0.6  # Seconds an event: the servers are busy, and finish about 130 items in queue_ttl_s.
+QUEUE_TTL_S = 40
+READ_S = 25  # The job is read for this long after the stop.
+PAGE_BYTES = 1000000  # One answer of the store lists 500 objects or 1 MB at most.
 
 
-async def scenario(world):
-    async def sound(replica, request, writer):
-        return await stream_events(replica, request, writer, 20, 0.03, lambda n: 'event %d' % n)
+def text(item):
+    return '\n'.join(('%s-%d-' % (item, n)).ljust(EVENT_BYTES, 'x') for n in range(1, EVENTS + 1))
 
-    for name in ('i-aa', 'i-bb', 'i-cc', 'i-dd'):
-        world.add_replica(name, 'advice', sound, models={MODEL: 1})
-    world.add_nodes(3, {'memory_mb': MEMORY_MB})
-    await world.start(world.config(1, [rollout_route('advice')], [model_service('advice')]))
-    ends = {node.name: 0 for node in world.nodes}
-    peak = {node.name: 0.0 for node in world.nodes}
-    answers, ended = {}, {}
-    begin = time.monotonic()
-    crowd_end = begin + CROWD_S
 
-    async def platform():
-        """Ends a process that takes more memory than its limit, and starts a process that has ended."""
-        while True:
-            for node in world.nodes:
-                memory = node.resident_mb()
-                peak[node.name] = max(peak[node.name], memory)
-                if node.process.returncode is None and memory > MEMORY_MB:
-                    world.record.add('node %s takes %.0f MB of %d MB: the platform ends it'
-                                     % (node.name, memory, MEMORY_MB))
-                    ends[node.name] += 1
-                    node.signal(signal.SIGKILL)
-                    await node.process.wait()
-                    await asyncio.sleep(0.3)
-                    await node.start()
-                elif node.process.returncode is not None:
-                    world.record.add('node %s ended by itself: %s' % (node.name, node.process.returncode))
-                    ends[node.name] += 1
-                    await asyncio.sleep(0.3)
-                    await node.start()
-            await asyncio.sleep(0.02)
+async def scenario(world):
+    async def run(replica, request, writer):
+        item = request.headers.get('x-attempt-id')
+        lines = text(item).split('\n')
+        gap = FASTEST + (SLOWEST - FASTEST) * (int(item[4:]) * 37 % 101) / 100
+        return await stream_events(replica, request, writer, EVENTS, gap, lambda n: lines[n - 1])
 
-    async def memory():
-        while True:
-            world.record.add('MB: %s' % [round(node.resident_mb()) for node in world.nodes])
-            await asyncio.sleep(2)
+    for name in ('i-aa', 'i-bb', 'i-cc', 'i-dd'):
+        world.add_replica(name, 'advice', run, models={MODEL: 1})
+    world.add_nodes(3)
+    await world.start(world.config(1, [rollout_route('advice', queue_ttl_s=float(QUEUE_TTL_S))], [model_service('advice')]))
+    body = json.loads(job_body(ITEMS))
+    for number, item in enumerate(body['items']):
+        item['group'] = 'g%d' % (number // SIZE)
+    body = json.dumps(body).encode()
+    status = await submit(world.nodes[0].at(5), JOB, body)
+    accepted = time.monotonic()
+    world.record.add('job %s, %d items, %d bytes: %d' % (JOB, len(ITEMS), len(body), status))
+    if status != 202:
+        raise CannotRun('the job was not accepted')
 
-    async def submitted(job, items, first_node):
-        """A job goes to the next node after a refusal, or if no answer came."""
-        body = job_body(['%s%05d' % (job[-11:], n) for n in range(items)])
-        for attempt in range(TRIES):
-            node = world.nodes[(first_node + attempt) % len(world.nodes)]
-            try:
-                status = await submit(node.at(5), job, body)
-            except (OSError, ConnectionError, asyncio.TimeoutError):
-                status = 0
-            answers[status] = answers.get(status, 0) + 1
-            world.record.add('job %s, %d items, %d bytes, at %s: %s' % (job, items, len(body), node.name, status or 'no answer'))
-            if status == 202:
-                world.spawn(end(job, node))
-                return
-            await asyncio.sleep(0.5)
+    results = []  # As the trainer has read them.
+    broken = []
 
-    async def end(job, node):
-        """A trainer ends its job at its time limit, and again if no answer comes."""
-        await asyncio.sleep(END_S)
-        headers = [('Host', HOST), ('Authorization', 'Bearer ' + KEY)]
-        for attempt in range(END_TRIES):
-            try:
-                status = (await call(node.at(5), 'DELETE', '/api/lots/' + job, headers))[0]
-            except (OSError, ConnectionError, asyncio.TimeoutError):
-                status = 0
-            ended[status] = ended.get(status, 0) + 1
-            if status == 200:
-                return
-            node = world.nodes[(world.nodes.index(node) + 1) % len(world.nodes)]
-            await asyncio.sleep(0.5)
+    async def read(node, after):
+        """Reads from a position on; checks that what was read before comes again."""
+        try:
+            status, page = await read_job(node.at(5), JOB, after)
+        except (OSError, ConnectionError, asyncio.TimeoutError):
+            return 0
+        if status == 200:
+            for number, result in enumerate(page['results'], after):
+                if number < len(results) and results[number] != result:
+                    broken.append('position %d changed' % number)
+                if number == len(results):
+                    results.append(result)
+                if result['state'] == 'completed' and result['text'] != text(result['id']):
+                    broken.append('the text of %s is not whole' % result['id'])
+        return status
 
-    async def client(number):
-        count = 0
-        while time.monotonic() < crowd_end:
-            await submitted('job%03d%010d' % (number, count), ITEMS, number + count)
-            count += 1
-            await asyncio.sleep(PAUSE_S)
+    turn = 0
+    while len(results) < len(ITEMS) and time.monotonic() - accepted < QUEUE_TTL_S + 15:
+        turn += 1
+        await read(world.nodes[turn % len(world.nodes)], len(results))
+        await asyncio.sleep(0.5 if time.monotonic() - accepted < QUEUE_TTL_S else 0.05)
+    states = [result['state'] for result in results]
+    world.record.add('%.1f s after the 202 the trainer has read %d results: %d completed, %d abandoned'
+                     % (time.monotonic() - accepted, len(results), states.count('completed'), states.count('abandoned')))
+    listing = [json.dumps(item) for kind, items in world.store.objects.items() for item in items.values()
+               if kind == 'results-' + JOB]
+    world.record.add('the store keeps the results in %d objects, %d bytes in all, the largest %d'
+                     % (len(listing), sum(map(len, listing)), max(map(len, listing), default=0)))
+    if len(results) < len(ITEMS):
+        raise CannotRun('the results were not all listed before the stop')
+    if len(listing) > 500 or sum(map(len, listing)) > PAGE_BYTES:
+        raise CannotRun('the store would need more than one answer for the results')
+    records = [item['spec'] for kind, items in world.store.objects.items() for item in items.values()
+               if kind != 'nodes' and item['metadata']['name'] == JOB]
+    owner = next((node for node in world.nodes if any(node.name in json.dumps(record) for record in records)), None)
+    if owner is None:
+        raise CannotRun('no owner of the job is known')
+    world.record.add('the job runs at %s' % owner.name)
 
-    world.spawn(platform())
-    world.spawn(memory())
-    clients = []
-    for number in range(CLIENTS):
-        clients.append(world.spawn(client(number)))
-        await asyncio.sleep(0.2)
-    await asyncio.sleep(max(0.0, crowd_end - time.monotonic()))
-    in_time = dict(ends)
-    world.record.add('the crowd has gone; ends by node until now: %s' % in_time)
-    await asyncio.sleep(AFTER_S)
-    world.record.add('answers to submissions: %s, to ends of jobs: %s; ends by node: %s; peak MB by node: %s'
-                     % (answers, ended, ends, {name: round(mb) for name, mb in peak.items()}))
-    often = [name for name, count in ends.items() if count >= 3]
-    broken = len(often) >= 2
-    world.record.add('broken: %s' % often if broken else 'held')
+    if TROUBLE:
+        owner.signal(signal.SIGTERM)
+        await owner.process.wait()
+        world.record.add('node %s has ended' % owner.name)
+        await asyncio.sleep(0.3)
+        await owner.start()
+    await world.until(world.all_ready, 15, 'the nodes are not ready')
+    ready = time.monotonic()
+    world.record.add('all nodes are ready')
+    answers, calls = {}, world.store.calls
+    whole = False
+    while time.monotonic() - ready < READ_S:
+        turn += 1
+        before = answers.copy()
+        after = 0
+        while True:  # The job is read from the start, to its end.
+            status = await read(world.nodes[turn % len(world.nodes)], after)
+            answers[status] = answers.get(status, 0) + 1
+            if status != 200:
+                break
+            after = after + 100
+            if after >= len(results):
+                break
+        whole = status == 200
+        if before.keys() != answers.keys():
+            world.record.add('read from the start at %s: answer %s' % (world.nodes[turn % len(world.nodes)].name, status))
+        await asyncio.sleep(0.5)
+    world.record.add('reads in %d s: %s; calls of the store: %d' % (READ_S, answers, world.store.calls - calls))
+    if not whole:
+        broken.append('the batch job can\'t be read %d s after all nodes were ready' % READ_S)
+    world.record.add('broken: %s' % broken[:3] if broken else 'held')
     return BROKEN if broken else HELD
 
 
