Usage reports: only counts that the store has confirmed are sent

Cause: a lease that lapsed for half a second and was confirmed again under the same fencing token made UsageReporter discard its reports and gather the window anew, without a node that had been killed meanwhile. The reply to the write of the first counts, still on its way through a peer, then marked the new report as frozen by the number of the window alone, so that counts were sent which no object has. Late replies to the first gather were added to the second one in the same way.

Evidence: the holder's log of the case on the code before has 'not_acting term=1', 0.5 s later 'acting term=1', 0.7 s later 'usage reported' with the second counts, while the store has the first ones. The record shows one write of the window, which rules out that the successor read a later one.

Change: a report holds what was gathered and what the store has confirmed apart, and sends the latter only. setFrozenCounts() is the one place that sets it, from the content of a confirmed write or read. Gathers and reports have ids, and a read of the object that began before another term or a confirmed write is repeated. A node that leads on under its fencing token discards nothing: nobody else has led. An unanswered write keeps what was gathered.

Why this is enough: each write is conditional on the revision whose content it extends, so a window never changes once it is stored, and nothing else is sent.

Measured: the new test in controllertest fails on the code before (stored and reported counts differ).

--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -116,7 +116,7 @@
     desiredCountsLoaded_ = false;
     capacityByService_.clear();
     scale_.setExtraCounts({});
-    usage_.reset();
+    usage_.startTerm(*fencingToken_);
 }
 
 void Controller::stopLeading()
--- a/src/control/usagereporter.cpp
+++ b/src/control/usagereporter.cpp
@@ -40,8 +40,12 @@
     return {{"counts", counts.countsOf(fieldOr<std::uint64_t>(request, "window", 0))}};
 }
 
-void UsageReporter::reset()
+void UsageReporter::startTerm(std::uint64_t fencingToken)
 {
+    if (term_ == fencingToken) {
+        return;
+    }
+    term_ = fencingToken;
     frozenLoaded_ = false;
     reports_.clear();
     firstWindow_.reset();
@@ -52,30 +56,47 @@
     if (net::loopNow() < frozenRetryAt_ || std::exchange(frozenLoading_, true)) {
         return;
     }
-    store_.get(PlanKind, FrozenCountsName, [this](const StoreReply &reply) {
+    store_.get(PlanKind, FrozenCountsName, [this, term = term_, revision = frozenRevision_](const StoreReply &reply) {
         frozenLoading_ = false;
-        frozenRetryAt_ = net::loopNow() + settings_.retryDelay;
-        if (reply.outcome == StoreOutcome::NotFound) {
-            frozenRetryAt_ = Instant();
-            frozenRevision_ = 0;
-            frozen_.clear();
-            frozenLoaded_ = true;
-        } else if (reply.outcome == StoreOutcome::Done && !reply.changes.empty()) {
-            const objects::StoredObject &object = reply.changes.front().object;
-            auto windows = parseCountsByWindow(object.value);
-            if (!windows) {
-                // Without the frozen counts, a window might be reported a second time with different counts.
-                telemetry::log(Level::Error, "usage", "frozen_unreadable", {{"revision", object.revision}});
-                return;
-            }
-            frozenRetryAt_ = Instant();
-            frozenRevision_ = object.revision;
-            frozen_ = std::move(*windows);
-            frozenLoaded_ = true;
+        // A reply from before a change of the term or a confirmed write may be outdated; read again then.
+        if (term == term_ && revision == frozenRevision_) {
+            onFrozenCountsRead(reply);
         }
     });
 }
 
+void UsageReporter::onFrozenCountsRead(const StoreReply &reply)
+{
+    frozenRetryAt_ = net::loopNow() + settings_.retryDelay;
+    if (reply.outcome == StoreOutcome::NotFound) {
+        setFrozenCounts(0, {});
+    } else if (reply.outcome == StoreOutcome::Done && !reply.changes.empty()) {
+        const objects::StoredObject &object = reply.changes.front().object;
+        auto windows = parseCountsByWindow(object.value);
+        if (!windows) {
+            // Without the frozen counts, a window might be reported a second time with different counts.
+            telemetry::log(Level::Error, "usage", "frozen_unreadable", {{"revision", object.revision}});
+            return;
+        }
+        setFrozenCounts(object.revision, std::move(*windows));
+    } else {
+        return;
+    }
+    frozenRetryAt_ = Instant();
+    frozenLoaded_ = true;
+}
+
+void UsageReporter::setFrozenCounts(std::uint64_t revision, CountsByWindow frozen)
+{
+    frozenRevision_ = revision;
+    frozen_ = std::move(frozen);
+    for (auto &[window, report] : reports_) {
+        if (const auto found = frozen_.find(window); !report.frozenCounts && found != frozen_.end()) {
+            report.frozenCounts = found->second;
+        }
+    }
+}
+
 void UsageReporter::poll(Instant now)
 {
     if (!frozenLoaded_) {
@@ -91,95 +112,117 @@
         if (reported_.contains(window) || wall < counts_.windowEnd(window) + settings_.gatherDelay) {
             continue;
         }
-        const auto [entry, inserted] = reports_.try_emplace(window);
-        WindowReport &report = entry->second;
-        if (inserted) {
-            if (const auto found = frozen_.find(window); found != frozen_.end()) {
-                report.counts = found->second;
-                report.gathered = true;
-                report.frozen = true;
-            } else {
-                gather(window);
+        const auto known = reports_.find(window);
+        WindowReport &report = known == reports_.end() ? addReport(window) : known->second;
+        if (report.frozenCounts) {
+            if (!report.sending && report.retryAt <= now) {
+                send(window, report);
             }
+            continue;
         }
         if (!report.gathered && now >= report.gatherUntil) {
             report.gathered = true;
         }
-        if (!report.gathered || report.callInProgress || report.retryAt > now) {
+        if (!report.gathered) {
             continue;
         }
-        if (report.frozen) {
-            send(window);
-        } else if (report.counts.empty()) {
+        if (report.gatheredCounts.empty()) {
             reported_.insert(window);
-        } else if (!freezing_) {
-            freeze(window);
+        } else if (!freezing_ && frozenLoaded_) {
+            freeze(window, report.gatheredCounts);
         }
     }
+    forgetOldWindows();
+}
+
+void UsageReporter::forgetOldWindows()
+{
     while (reported_.size() > MaxFrozenWindows * 2) {
-        reports_.erase(*reported_.begin());
         firstWindow_ = std::max(*firstWindow_, *reported_.begin() + 1);
         reported_.erase(reported_.begin());
     }
+    reports_.erase(reports_.begin(), reports_.lower_bound(*firstWindow_));
 }
 
-void UsageReporter::gather(std::uint64_t window)
+UsageReporter::WindowReport &UsageReporter::addReport(std::uint64_t window)
 {
     WindowReport &report = reports_[window];
-    report.counts = counts_.countsOf(window);
+    report.id = ++lastReportId_;
+    if (const auto found = frozen_.find(window); found != frozen_.end()) {
+        report.frozenCounts = found->second;
+    } else {
+        gather(window, report);
+    }
+    return report;
+}
+
+UsageReporter::WindowReport *UsageReporter::findReport(std::uint64_t window, ReportId id)
+{
+    const auto found = reports_.find(window);
+    return found == reports_.end() || found->second.id != id ? nullptr : &found->second;
+}
+
+void UsageReporter::gather(std::uint64_t window, WindowReport &report)
+{
+    report.gatheredCounts = counts_.countsOf(window);
     report.gatherUntil = net::loopNow() + settings_.gatherTimeout + GatherMargin;
     const std::vector<std::string> nodes = peers_.reachable();
     report.pendingReplies = static_cast<int>(nodes.size());
     report.gathered = nodes.empty();
     for (const std::string &node : nodes) {
-        peers_.call(
-            node, CountsMethod, {{"window", window}}, settings_.gatherTimeout,
-            [this, window, node](const absl::StatusOr<Json> &reply) {
-                const auto found = reports_.find(window);
-                if (found == reports_.end() || found->second.gathered) {
-                    return;
-                }
-                WindowReport &openReport = found->second;
-                const auto counts = reply.ok() ? parseWindowCounts(fieldOrNull(*reply, "counts")) : std::nullopt;
-                if (!counts) {
-                    telemetry::log(Level::Warning, "usage", "counts_missing", {{"window", window}, {"node", node}});
-                } else {
-                    for (const auto &[workspace, count] : *counts) {
-                        openReport.counts[workspace] += count;
-                    }
-                }
-                openReport.gathered = --openReport.pendingReplies == 0;
-            });
+        peers_.call(node, CountsMethod, {{"window", window}}, settings_.gatherTimeout,
+                    [this, window, id = report.id, node](const absl::StatusOr<Json> &reply) {
+                        onGatherReply(window, id, node, reply);
+                    });
     }
 }
 
-void UsageReporter::freeze(std::uint64_t window)
+void UsageReporter::onGatherReply(std::uint64_t window, ReportId id, const std::string &node,
+                                  const absl::StatusOr<Json> &reply)
 {
-    freezing_ = true;
-    reports_[window].callInProgress = true;
-    auto frozen = frozen_;
-    frozen[window] = reports_[window].counts;
+    WindowReport *report = findReport(window, id);
+    if (report == nullptr || report->gathered) {
+        return;
+    }
+    const auto counts = reply.ok() ? parseWindowCounts(fieldOrNull(*reply, "counts")) : std::nullopt;
+    if (!counts) {
+        telemetry::log(Level::Warning, "usage", "counts_missing", {{"window", window}, {"node", node}});
+    } else {
+        for (const auto &[workspace, count] : *counts) {
+            report->gatheredCounts[workspace] += count;
+        }
+    }
+    report->gathered = --report->pendingReplies == 0;
+}
+
+void UsageReporter::freeze(std::uint64_t window, const WindowCounts &counts)
+{
+    CountsByWindow frozen = frozen_;
+    frozen[window] = counts;
     while (frozen.size() > MaxFrozenWindows) {
         frozen.erase(frozen.begin());
     }
+    if (!frozen.contains(window)) {
+        // An earlier report of it may have been dropped from the stored object.
+        telemetry::log(Level::Warning, "usage", "window_too_old", {{"window", window}});
+        reported_.insert(window);
+        return;
+    }
+    freezing_ = true;
     Json value = toJson(frozen);
-    const auto done = [this, window, frozen](const StoreReply &reply) {
+    const auto done = [this, window, frozen = std::move(frozen)](const StoreReply &reply) {
         freezing_ = false;
-        const auto found = reports_.find(window);
-        if (found != reports_.end()) {
-            found->second.callInProgress = false;
+        const bool confirmed = reply.outcome == StoreOutcome::Done && !reply.changes.empty();
+        const std::uint64_t revision = confirmed ? reply.changes.front().object.revision : 0;
+        telemetry::log(Level::Info, "usage", "frozen",
+                       {{"window", window}, {"outcome", nameOf(reply.outcome)}, {"revision", revision}});
+        if (!confirmed) {
+            // Another controller may have frozen its counts, or this write may still take effect: read the object
+            // again.
+            frozenLoaded_ = false;
+        } else if (revision > frozenRevision_) {
+            setFrozenCounts(revision, frozen);
         }
-        if (reply.outcome == StoreOutcome::Done && !reply.changes.empty()) {
-            frozenRevision_ = reply.changes.front().object.revision;
-            frozen_ = frozen;
-            if (found != reports_.end()) {
-                found->second.frozen = true;
-            }
-            return;
-        }
-        // Another controller may have frozen its counts, or this write may still take effect: read the object again.
-        reports_.clear();
-        frozenLoaded_ = false;
     };
     if (frozenRevision_ == 0) {
         store_.create(PlanKind, FrozenCountsName, std::move(value), done);
@@ -188,22 +231,20 @@
     }
 }
 
-void UsageReporter::send(std::uint64_t window)
+void UsageReporter::send(std::uint64_t window, WindowReport &report)
 {
     const auto holder = leaseHolder_();
     if (!holder) {
         return;
     }
-    WindowReport &report = reports_[window];
-    report.callInProgress = true;
-    reportUsage_(window, report.counts, *holder, [this, window](DutyReply reply) {
+    report.sending = true;
+    reportUsage_(window, *report.frozenCounts, *holder, [this, window, id = report.id](DutyReply reply) {
         telemetry::log(Level::Info, "usage", "reported", {{"window", window}, {"reply", nameOf(reply)}});
-        const auto found = reports_.find(window);
         if (reply == DutyReply::Done) {
             reported_.insert(window);
-        } else if (found != reports_.end()) {
-            found->second.callInProgress = false;
-            found->second.retryAt = net::loopNow() + settings_.retryDelay;
+        } else if (WindowReport *sent = findReport(window, id)) {
+            sent->sending = false;
+            sent->retryAt = net::loopNow() + settings_.retryDelay;
         }
     });
 }
--- a/tests/control/controllertest.cpp
+++ b/tests/control/controllertest.cpp
@@ -2,6 +2,7 @@
 #include "control/controller.h"
 
 #include "fakes/inmemoryobjectstore.h"
+#include "fakes/interceptedport.h"
 #include "fakes/runloop.h"
 
 #include <absl/time/clock.h>
@@ -67,7 +68,7 @@
             settings.candidateRankDelay = absl::ZeroDuration();
             settings.reacquireDelay = absl::Milliseconds(3600);
             member.controller = std::make_unique<Controller>(
-                ControllerContext{loop, *member.table, store.port(), peers, duties, kinds,
+                ControllerContext{loop, *member.table, interceptedPort(store.port(), holdCalls()), peers, duties, kinds,
                                   []() -> const serving::GatewayConfig * { return nullptr; }, [] { return false; },
                                   [] { return 0; }, [this, name] { return !storeUnreachable.contains(name); },
                                   [] { return std::map<std::string, scheduling::DemandByModel>(); }, name,
@@ -96,6 +97,15 @@
         return {};
     }
 
+    /// Makes the calls of the kind that were held back.
+    void releaseCalls(const std::string &kind)
+    {
+        heldKinds.erase(kind);
+        for (const auto &[call, done] : std::exchange(heldCalls[kind], {})) {
+            call(done);
+        }
+    }
+
     struct Member
     {
         std::unique_ptr<RequestCounts> counts;
@@ -107,8 +117,22 @@
     std::map<std::string, Member> members;
     std::set<std::string> storeUnreachable; ///< Nodes that can't reach the store directly.
     std::set<std::string> paused; ///< Nodes whose controller isn't polled.
+    std::set<std::string> heldKinds; ///< Writes of objects of these kinds are held back.
+    std::map<std::string, std::vector<std::pair<StoreCall, objects::StoreCallback>>> heldCalls; ///< By kind.
     std::vector<Report> reports;
     bool loseReplies = false;
+
+private:
+    Interceptor holdCalls()
+    {
+        return [this](const std::string &op, const std::string &kind, StoreCall call, objects::StoreCallback done) {
+            if (op == "get" || !heldKinds.contains(kind)) {
+                call(std::move(done));
+            } else {
+                heldCalls[kind].emplace_back(std::move(call), std::move(done));
+            }
+        };
+    }
 };
 
 } // namespace
@@ -165,6 +189,34 @@
     }
 }
 
+// Guards against a report with other counts than those in the store, which a successor repeats: the reply to the write
+// of the counts comes after the lease has lapsed and was regained, when another node has lost its counts meanwhile.
+TEST_CASE("a report has the stored counts although the lease lapsed while they were written")
+{
+    ControllerPair pair;
+    REQUIRE(runUntil(pair.loop, [&pair] { return !pair.leader().empty(); }));
+    const std::string first = pair.leader();
+    const std::string second = first == "a" ? "b" : "a";
+    pair.paused.insert(second);
+    pair.heldKinds = {"plans"};
+    const std::uint64_t window = pair.members[first].counts->windowAt(absl::Now());
+    for (const char *name : {"a", "b"}) {
+        pair.members[name].counts->add("w", window, 1);
+    }
+    REQUIRE(runUntil(pair.loop, [&pair] { return !pair.heldCalls["plans"].empty(); }));
+    pair.heldKinds.insert("leases");
+    REQUIRE(runUntil(pair.loop, [&pair] { return pair.leader().empty(); }));
+    *pair.members[second].counts = RequestCounts(absl::Milliseconds(400)); // Its process was killed and is back.
+    pair.releaseCalls("leases");
+    REQUIRE(runUntil(pair.loop, [&pair, &first] { return pair.leader() == first; }));
+    runFor(pair.loop, std::chrono::milliseconds(200)); // For what the node does when it leads again.
+    pair.releaseCalls("plans");
+    REQUIRE(runUntil(pair.loop, [&pair] { return !pair.reports.empty(); }));
+    CHECK(pair.reports.front().window == window);
+    const Json stored = pair.store.value("plans", "usage-frozen");
+    CHECK(stored == Json{{std::to_string(window), pair.reports.front().counts}});
+}
+
 // Guards against a lease holder that still acts when it can't renew the lease, while its successor acts as well.
 TEST_CASE("a lease holder stops acting in time when the store refuses its calls")
 {
