Weight loads: a late reply to an earlier order doesn't end the present load

When a replica's process ends while an order is unanswered, the restarted replica is ordered at once; the reply to the first order (unknown, since its connection ended) then ended the load of the second one, and the replica was queried and ordered again while it loaded.

Change: orders have ids, and a reply to another order than the replica's present one is ignored.

Measured: 'a late reply to an earlier order doesn't change the load that follows it' fails on the code before for all five replies (8 of 30 assertions), and passes now.

--- a/src/control/dutyport.h
+++ b/src/control/dutyport.h
@@ -33,6 +33,7 @@
     std::uint64_t version = 0;
     SwapMode mode = SwapMode::Truncate;
     std::uint64_t expectedOrdersAccepted = 0; ///< The replica refuses if it has accepted another number.
+    std::uint64_t id = 0; ///< Unique among the orders of a plan.
 };
 
 enum class OrderReply {
--- a/src/control/weightplan.cpp
+++ b/src/control/weightplan.cpp
@@ -195,6 +195,7 @@
         ++loadingByModel[model];
         ++upToDateByModel[model];
         WeightOrder order;
+        order.id = ++lastOrderId_;
         order.replica = entry.id;
         order.model = modelByReplica_[entry.id];
         order.version = latestVersion(order.model);
@@ -208,6 +209,9 @@
 
 void WeightPlan::onReply(const WeightOrder &order, OrderReply reply, Instant now)
 {
+    if (const auto load = loads_.find(order.replica); load != loads_.end() && load->second.order.id != order.id) {
+        return; // Late: the replica has restarted or was queried meanwhile, and has another order.
+    }
     switch (reply) {
     case OrderReply::Started:
         ordersAccepted_[order.replica] = order.expectedOrdersAccepted + 1;
--- a/src/control/weightplan.h
+++ b/src/control/weightplan.h
@@ -88,6 +88,7 @@
     std::map<std::string, LatestVersion> latestVersions_; ///< Newest version by model.
     std::map<std::string, std::string> modelByReplica_;
     std::map<std::string, Load> loads_; ///< Loads in progress, by replica.
+    std::uint64_t lastOrderId_ = 0;
     std::map<std::string, Instant> pausedUntil_; ///< No orders before this, by replica.
     std::map<std::string, std::uint64_t> ordersAccepted_; ///< Orders that a replica has accepted since its start.
     std::map<std::string, std::int64_t> incarnations_; ///< Incarnation that the other maps refer to, by replica.
--- a/tests/control/plantest.cpp
+++ b/tests/control/plantest.cpp
@@ -149,6 +149,31 @@
     CHECK(orders[0].expectedOrdersAccepted == 0);
 }
 
+// Guards against a reply to an order of an earlier process of the replica that ends the load of the present one, so
+// that the replica is queried and ordered again while it loads.
+TEST_CASE("a late reply to an earlier order doesn't change the load that follows it")
+{
+    for (const OrderReply late :
+         {OrderReply::Started, OrderReply::AlreadyDone, OrderReply::Busy, OrderReply::Refused, OrderReply::Unknown}) {
+        CAPTURE(nameOf(late));
+        WeightPlan plan;
+        auto list = replicas(1, {"m0"});
+        plan.assign(pointers(list), {"m0"});
+        plan.onVersionPublished("m0", 2, at(0));
+        const auto first = plan.dueOrders(pointers(list), SwapMode::Truncate, at(2));
+        REQUIRE(first.size() == 1);
+        list[0].entry.startedAtMs = 1; // The replica's process has ended and is back.
+        const auto second = plan.dueOrders(pointers(list), SwapMode::Truncate, at(6));
+        REQUIRE(second.size() == 1);
+        plan.onReply(first[0], late, at(6.1));
+        CHECK(plan.isLoading("r0"));
+        CHECK(plan.replicasToQuery(at(7)).empty());
+        plan.onReply(second[0], OrderReply::Started, at(6.2));
+        CHECK(plan.dueOrders(pointers(list), SwapMode::Truncate, at(6.3)).empty());
+        CHECK(plan.replicasToQuery(at(9)) == std::vector<std::string>{"r0"});
+    }
+}
+
 // Load: a training step begins when a version is published, with items for all replicas of its model, and may use the
 // version before. Results are due after 7.5 s, and training takes 0.5 s, so that each model gets a version every 8 s. A
 // load takes 0.9 s, longer while more than one in five replicas load. Guards against replicas that fall versions
