Result segments close by their encoded size

A job of which thousands of items are abandoned at once wrote them as one segment, since it was bounded by the bytes of texts and abandoned items have none. The store takes 1 MiB an object, so the write could never succeed, and the job's results were never listed.

Change: a segment ends before the result with which its encoded size would exceed 600 kB: id, text with its escapes, score and versions count. The rest follows in the next segments.

The size of an encoded result is estimated from above, tested against its encoding.

--- a/src/jobs/jobcontext.h
+++ b/src/jobs/jobcontext.h
@@ -77,7 +77,8 @@
     RetentionSettings retention;
     absl::Duration removalRetryDelay = absl::Seconds(10); ///< After a removal of a job whose outcome isn't known.
     std::size_t maxPageBytes = 900'000; ///< Limit of the results in one response; the store and the clients allow 1 MB.
-    std::size_t segmentBytes = 600'000; ///< A result segment is closed once its text reaches this size.
+    /// Limit of an encoded result segment, unless a single result is larger. The store allows 1 MiB for an object.
+    std::size_t segmentBytes = 600'000;
     std::size_t partBytes = 600'000; ///< An object of items is closed once it exceeds this size.
     absl::Duration peerTimeout = absl::Milliseconds(800);
     absl::Duration textTimeout = absl::Milliseconds(150); ///< For the text that peers have of a new job's items.
--- a/src/jobs/jobstoring.cpp
+++ b/src/jobs/jobstoring.cpp
@@ -49,16 +49,20 @@
     segment.nonce = randomHex(8);
     std::size_t bytes = 0;
     for (const Item &item : tracker_.items()) {
-        if (item.state == ItemState::Finished && bytes < context_.settings.segmentBytes) {
-            ItemResult result;
-            result.id = item.spec.id;
-            result.state = item.text.empty() ? ResultState::Abandoned : ResultState::Completed;
-            result.text = item.text.joinEvents();
-            result.versions = item.text.versions;
-            result.score = item.score;
-            bytes += result.text.size();
-            segment.results.push_back(std::move(result));
+        if (item.state != ItemState::Finished) {
+            continue;
+        }
+        ItemResult result;
+        result.id = item.spec.id;
+        result.state = item.text.empty() ? ResultState::Abandoned : ResultState::Completed;
+        result.text = item.text.joinEvents();
+        result.versions = item.text.versions;
+        result.score = item.score;
+        bytes += encodedSize(result);
+        if (!segment.results.empty() && bytes > context_.settings.segmentBytes) {
+            break;
         }
+        segment.results.push_back(std::move(result));
     }
     pendingSegment_ = std::move(segment);
     const std::weak_ptr<JobRunner> weak = weak_from_this();
--- a/src/jobs/resultlog.cpp
+++ b/src/jobs/resultlog.cpp
@@ -10,9 +10,30 @@
 // Estimated bytes of an encoded result besides its text: id, state, versions and the escape characters of a typical
 // text.
 constexpr std::size_t ResultOverheadBytes = 256;
+// Names of fields, punctuation and state of an encoded result.
+constexpr std::size_t ResultFieldBytes = 80;
+constexpr std::size_t MaxNumberBytes = 21; // Of a 64-bit number, with its separator.
+
+/// Bytes of the JSON string, without its quotation marks.
+std::size_t encodedSize(std::string_view text)
+{
+    constexpr std::size_t ControlEscapeBytes = 6; // Of \u001f; line breaks and tabs take less.
+    std::size_t bytes = 0;
+    for (const char c : text) {
+        const bool isControl = static_cast<unsigned char>(c) < 0x20;
+        bytes += isControl ? ControlEscapeBytes : c == '"' || c == '\\' ? 2 : 1;
+    }
+    return bytes;
+}
 
 } // namespace
 
+std::size_t encodedSize(const ItemResult &result)
+{
+    return ResultFieldBytes + encodedSize(result.id) + encodedSize(result.text) + encodedSize(result.score)
+        + result.versions.size() * MaxNumberBytes;
+}
+
 Json toJson(const Segment &segment)
 {
     Json results = Json::array();
--- a/src/jobs/resultlog.h
+++ b/src/jobs/resultlog.h
@@ -25,6 +25,8 @@
 };
 
 Json toJson(const Segment &segment);
+/// Bytes that the result takes in a stored segment, estimated from above.
+std::size_t encodedSize(const ItemResult &result);
 std::optional<Segment> parseSegment(std::uint64_t number, const Json &value);
 /// Returns the object name of a segment. Names sort in the order of the numbers.
 std::string segmentName(std::uint64_t number);
--- a/tests/adapter/storedjobstest.cpp
+++ b/tests/adapter/storedjobstest.cpp
@@ -102,6 +102,29 @@
     checkReadableAfterTakeover(cluster, "job", 2'000);
 }
 
+// Guards against a result segment that is larger than an object of the store may be: abandoned items have no text, and
+// all of them stood in one segment.
+TEST_CASE("a job whose items are all abandoned is stored in segments that the store takes")
+{
+    JobCluster cluster({"a", "b"});
+    abandonItemsAfter(cluster, absl::Milliseconds(100));
+    cluster.replicas.silent = {"r1", "r2"};
+    checkReadableAfterTakeover(cluster, std::string(60, 'j'), 10'000);
+}
+
+// Guards against a segment that grows beyond its limit when its text is encoded.
+TEST_CASE("the encoded size of a result is estimated from above")
+{
+    for (const std::string &text : {std::string(), std::string("plain"), std::string(100, '"'), std::string(100, '\\'),
+                                    std::string(100, '\x1f'), std::string(100, '\n'), std::string("\u00e4\u20ac")}) {
+        for (std::size_t versions : {0U, 1U, 50U}) {
+            jobs::ItemResult result{"item", jobs::ResultState::Abandoned, text, {}, "score"};
+            result.versions.assign(versions, std::numeric_limits<std::uint64_t>::max());
+            CHECK(jobs::toJson(result).dump().size() < jobs::encodedSize(result));
+        }
+    }
+}
+
 // Guards against sound objects that count as unreadable for what else stands on their page: each number is measured by
 // its values, not by its bytes, and a page beyond the limit is read in parts.
 TEST_CASE("each sound object of a page is read, whatever stands beside it")
