Takeovers: a job with an unreadable object is tried less and less often

Change: loading tells an unreadable object from a store without an answer. After an unreadable one the next takeover of that job waits, 0.25 s at first and twice as long each time, up to 5 s. A store that doesn't answer is tried as before.

--- a/src/jobs/jobexpiry.cpp
+++ b/src/jobs/jobexpiry.cpp
@@ -28,6 +28,9 @@
     absl::erase_if(orphanedSince_, [this, now](const auto &entry) {
         return now - entry.second > context_.settings.retention.afterSubmission;
     });
+    absl::erase_if(unreadableJobs_, [this, now](const auto &entry) {
+        return now - entry.second.notBefore > context_.settings.retention.afterSubmission;
+    });
     absl::erase_if(endedJobs_, [now](const auto &entry) { return entry.second <= now; });
     absl::erase_if(cachedRecords_, [now](const auto &entry) { return entry.second.expiresAt <= now; });
     absl::erase_if(formerlyOwned_, [now](const auto &entry) { return entry.second->retention.isPastMinimum(now); });
--- a/src/jobs/jobreading.cpp
+++ b/src/jobs/jobreading.cpp
@@ -156,8 +156,8 @@
         done(ReadOutcome::Found, log->page(after, record.total, context_.settings.maxPageBytes));
         return;
     }
-    loadLog(record.id, log, [this, record, after, log, done = std::move(done)](bool loaded) {
-        if (!loaded) {
+    loadLog(record.id, log, [this, record, after, log, done = std::move(done)](LoadOutcome outcome) {
+        if (outcome != LoadOutcome::Loaded) {
             done(ReadOutcome::Unavailable, {});
             return;
         }
@@ -167,17 +167,17 @@
 }
 
 void JobService::loadLog(const std::string &jobId, const std::shared_ptr<ResultLog> &log,
-                         std::function<void(bool)> done)
+                         std::function<void(LoadOutcome)> done)
 {
     const std::string last = log->nextSegment() == 0 ? std::string() : segmentName(log->nextSegment() - 1);
     context_.store.list(resultKind(jobId), last, [this, jobId, log, done = std::move(done)](const StoreReply &reply) {
         if (reply.outcome == StoreOutcome::NotFound) {
-            done(true);
+            done(LoadOutcome::Loaded);
             return;
         }
         if (reply.outcome != StoreOutcome::Done) {
             logReadFailure(jobId, "results", reply);
-            done(false);
+            done(LoadOutcome::Unavailable);
             return;
         }
         for (const objects::ObjectChange &change : reply.changes) {
@@ -185,14 +185,14 @@
             if (change.object.name != segmentName(log->nextSegment()) || !segment || !log->append(*segment)) {
                 telemetry::log(Level::Error, "job", "segment_unreadable",
                                {{"job", jobId}, {"segment", change.object.name}});
-                done(false);
+                done(LoadOutcome::Unreadable);
                 return;
             }
         }
         if (reply.more && !reply.changes.empty()) {
             loadLog(jobId, log, done);
         } else {
-            done(true);
+            done(LoadOutcome::Loaded);
         }
     });
 }
@@ -235,8 +235,8 @@
 
 void JobService::readBodyFromStore(const JobRecord &record, const std::string &itemId, BodyCallback done)
 {
-    loadParts(record, [itemId, done = std::move(done)](bool loaded, const JobSpec &spec) {
-        if (!loaded) {
+    loadParts(record, [itemId, done = std::move(done)](LoadOutcome outcome, const JobSpec &spec) {
+        if (outcome != LoadOutcome::Loaded) {
             done(ReadOutcome::Unavailable, {});
             return;
         }
@@ -247,7 +247,7 @@
     });
 }
 
-void JobService::loadParts(const JobRecord &record, std::function<void(bool, JobSpec)> done)
+void JobService::loadParts(const JobRecord &record, std::function<void(LoadOutcome, JobSpec)> done)
 {
     const auto spec = std::make_shared<JobSpec>();
     spec->id = record.id;
@@ -258,11 +258,11 @@
 }
 
 void JobService::loadPart(const JobRecord &record, std::uint64_t part, const std::shared_ptr<JobSpec> &spec,
-                          std::function<void(bool, JobSpec)> done)
+                          std::function<void(LoadOutcome, JobSpec)> done)
 {
     if (part == record.parts) {
         const bool complete = spec->items.size() == record.total;
-        done(complete, std::move(*spec));
+        done(complete ? LoadOutcome::Loaded : LoadOutcome::Unavailable, std::move(*spec));
         return;
     }
     storeFor(regionsOf(record.host, record.path, record.workspace))
@@ -270,12 +270,12 @@
              [this, record, part, spec, done = std::move(done)](const StoreReply &reply) {
                  if (reply.outcome != StoreOutcome::Done || reply.changes.empty()) {
                      logReadFailure(record.id, "items", reply);
-                     done(false, {});
+                     done(LoadOutcome::Unavailable, {});
                      return;
                  }
                  if (!readJobPart(reply.changes.front().object.value, *spec)) {
                      telemetry::log(Level::Error, "job", "items_unreadable", {{"job", record.id}, {"part", part}});
-                     done(false, {});
+                     done(LoadOutcome::Unreadable, {});
                      return;
                  }
                  loadPart(record, part + 1, spec, done);
--- a/src/jobs/jobservice.h
+++ b/src/jobs/jobservice.h
@@ -134,6 +134,18 @@
         Instant expiresAt;
     };
 
+    /// How the objects of a job were loaded from the store.
+    enum class LoadOutcome {
+        Loaded,
+        Unavailable, ///< The store didn't answer, or has only a part of the objects.
+        Unreadable, ///< An object can't be read, which another attempt won't change soon.
+    };
+    struct TakeoverRetry
+    {
+        Instant notBefore;
+        absl::Duration delay; ///< From the last failure to notBefore.
+    };
+
     net::MemoryShare memoryFor(const JobSpec &spec) const;
     /// Regions in which a job may run and its bodies may be kept, by the configuration in force. If it has no such
     /// route, items can't run at all.
@@ -178,10 +190,11 @@
     void onResultsStored(const std::string &jobId);
     void servePendingReads(const std::string &jobId);
     void readBodyFromStore(const JobRecord &record, const std::string &itemId, BodyCallback done);
-    void loadParts(const JobRecord &record, std::function<void(bool, JobSpec)> done);
+    void loadParts(const JobRecord &record, std::function<void(LoadOutcome, JobSpec)> done);
     void loadPart(const JobRecord &record, std::uint64_t part, const std::shared_ptr<JobSpec> &spec,
-                  std::function<void(bool, JobSpec)> done);
-    void loadLog(const std::string &jobId, const std::shared_ptr<ResultLog> &log, std::function<void(bool)> done);
+                  std::function<void(LoadOutcome, JobSpec)> done);
+    void loadLog(const std::string &jobId, const std::shared_ptr<ResultLog> &log,
+                 std::function<void(LoadOutcome)> done);
 
     void storeEnd(const std::shared_ptr<EndRequest> &request, bool bypassCache);
     /// Takes over the revision of the owned job's record from the reply to its replacement.
@@ -201,6 +214,8 @@
     std::vector<JobHost> jobHosts() const; ///< This node and its live peers.
     /// Loads the job, and claims it last: an end that is stored meanwhile changes the record, so that the claim fails.
     void takeOver(const JobRecord &record, std::uint64_t revision);
+    /// Returns the delay before the next takeover of a job with an unreadable object, which doubles each time.
+    absl::Duration postponeTakeover(const std::string &jobId);
     /// Makes this node the owner unless the record has changed since `revision`, and runs the job.
     void claim(const JobRecord &record, std::uint64_t revision, JobSpec spec, const std::shared_ptr<ResultLog> &log,
                const std::function<void()> &onFailure);
@@ -225,6 +240,7 @@
     absl::flat_hash_map<std::string, CachedLog> cachedLogs_;
     absl::flat_hash_map<std::string, std::shared_ptr<Submission>> submissions_; ///< In progress.
     absl::flat_hash_set<std::string> takingOver_;
+    absl::flat_hash_map<std::string, TakeoverRetry> unreadableJobs_; ///< Orphaned jobs with an unreadable object.
     /// Jobs known to have ended, with the time at which that is forgotten. The notice of an end may come before the
     /// store's answer that makes this node the owner.
     absl::flat_hash_map<std::string, Instant> endedJobs_;
--- a/src/jobs/jobtakeover.cpp
+++ b/src/jobs/jobtakeover.cpp
@@ -21,6 +21,8 @@
 namespace {
 
 constexpr absl::Duration OrphanScanRetryDelay = absl::Seconds(1);
+// Between two takeovers of a job of which an object cannot be read.
+constexpr absl::Duration MaxTakeoverRetryDelay = absl::Seconds(5);
 // Delays after the loss of a node at which its successors search for its jobs. The successor of rank r begins with the
 // delay at index r; the later searches find what an earlier successor has not taken over. A job may become recognizable
 // as orphaned only once its owner counts as lost at all nodes.
@@ -351,28 +353,43 @@
     scanning_ = false;
 }
 
+absl::Duration JobService::postponeTakeover(const std::string &jobId)
+{
+    TakeoverRetry &retry = unreadableJobs_.try_emplace(jobId).first->second;
+    retry.delay = std::clamp(retry.delay * 2, context_.settings.storeRetryDelay, MaxTakeoverRetryDelay);
+    retry.notBefore = net::loopNow() + retry.delay;
+    return retry.delay;
+}
+
 void JobService::takeOver(const JobRecord &record, std::uint64_t revision)
 {
+    const auto retry = unreadableJobs_.find(record.id);
+    if (retry != unreadableJobs_.end() && net::loopNow() < retry->second.notBefore) {
+        return;
+    }
     if (!takingOver_.insert(record.id).second) {
         return;
     }
     telemetry::log(Level::Info, "job", "taking_over", {{"job", record.id}, {"owner", record.owner}});
-    const auto scanLater = [this, id = record.id] {
+    const auto scanLater = [this, id = record.id](LoadOutcome outcome) {
         takingOver_.erase(id);
-        net::runAfter(context_.loop, context_.settings.storeRetryDelay, [this] { scanOrphanedJobs(); });
+        const bool unreadable = outcome == LoadOutcome::Unreadable;
+        net::runAfter(context_.loop, unreadable ? postponeTakeover(id) : context_.settings.storeRetryDelay,
+                      [this] { scanOrphanedJobs(); });
     };
     const auto log = std::make_shared<ResultLog>();
-    loadLog(record.id, log, [this, record, revision, log, scanLater](bool logLoaded) {
-        if (!logLoaded) {
-            scanLater();
+    loadLog(record.id, log, [this, record, revision, log, scanLater](LoadOutcome logOutcome) {
+        if (logOutcome != LoadOutcome::Loaded) {
+            scanLater(logOutcome);
             return;
         }
-        loadParts(record, [this, record, revision, log, scanLater](bool loaded, JobSpec spec) {
-            if (!loaded) {
-                scanLater();
+        loadParts(record, [this, record, revision, log, scanLater](LoadOutcome outcome, JobSpec spec) {
+            if (outcome != LoadOutcome::Loaded) {
+                scanLater(outcome);
                 return;
             }
-            claim(record, revision, std::move(spec), log, scanLater);
+            unreadableJobs_.erase(record.id);
+            claim(record, revision, std::move(spec), log, [scanLater] { scanLater(LoadOutcome::Unavailable); });
         });
     });
 }
--- a/tests/jobs/jobservicetest.cpp
+++ b/tests/jobs/jobservicetest.cpp
@@ -98,6 +98,24 @@
     CHECK(cluster.store.value("jobs", "job")["owner"] == "b");
 }
 
+// Guards against a job that can't be read and takes calls of the store without end, several a second at each node.
+TEST_CASE("a takeover that meets an unreadable object is repeated less and less often")
+{
+    JobCluster cluster({"a", "b"});
+    cluster.replicas.silent = {"r1", "r2"};
+    REQUIRE(cluster.submit("a", JobCluster::spec("job", 2)) == SubmitOutcome::Accepted);
+    cluster.store.put(jobs::resultKind("job"), jobs::segmentName(0), {{"results", {{{"id", ""}}}}});
+    cluster.kill("a");
+    cluster.at("b").scanOrphanedJobs();
+    const int before = cluster.store.calls("list");
+    runFor(cluster.loop, std::chrono::milliseconds(3000));
+    // Takeovers after 0, 0.25, 0.75 and 1.75 s, with a list of the records and one of the results each.
+    CHECK(cluster.store.calls("list") - before <= 8);
+    cluster.store.put(jobs::resultKind("job"), jobs::segmentName(0), {{"results", Json::array()}});
+    cluster.replicas.silent.clear();
+    CHECK(cluster.waitForResults("b", "job", 2));
+}
+
 // Guards against the loss of all text at a planned stop: the stopping node wasn't asked for it, and items were sent
 // again before the text arrived.
 TEST_CASE("a node that takes over the jobs of a stopping node resumes their texts")
